--- /dev/null
+++ b/packages/core/src/node/configuration/__tests__/configurationState.test.ts
@@ -0,0 +1,75 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import {
+  applyConfigurationRecord,
+  createConfigurationState,
+} from '../configurationState.js'
+import { PatchOutcomeKind } from '../patchOutcome.js'
+
+function patch(patchId: string, baseVersion: number, rank = 1) {
+  return {
+    type: 'patch',
+    schema: 1,
+    patchId,
+    baseVersion,
+    author: 'test',
+    operations: [{ op: 'replace', path: '/defaultRank', value: rank }],
+  }
+}
+
+function replay(records: readonly unknown[]) {
+  let state = createConfigurationState()
+  const outcomes: (PatchOutcomeKind | undefined)[] = []
+  for (const [offset, record] of records.entries()) {
+    const step = applyConfigurationRecord(state, record, offset)
+    state = step.state
+    outcomes.push(step.outcome?.kind)
+  }
+  return { state, outcomes }
+}
+
+describe('applyConfigurationRecord', () => {
+  it('lets one of two racing patches win', () => {
+    const { outcomes } = replay([patch('a', 0), patch('b', 0)])
+    assert.deepEqual(outcomes, [
+      PatchOutcomeKind.Applied,
+      PatchOutcomeKind.Conflict,
+    ])
+  })
+
+  it('counts a patch id once', () => {
+    const { state, outcomes } = replay([patch('a', 0), patch('a', 1)])
+    assert.equal(state.version, 1)
+    assert.equal(outcomes[1], PatchOutcomeKind.Duplicate)
+  })
+
+  it('refuses a patch that breaks the schema and keeps the version', () => {
+    const { state, outcomes } = replay([patch('a', 0, 99)])
+    assert.equal(state.version, 0)
+    assert.equal(outcomes[0], PatchOutcomeKind.Invalid)
+  })
+
+  it('never lowers the version, whatever the log holds', () => {
+    const record = fc.oneof(
+      fc.anything(),
+      fc
+        .tuple(
+          fc.constantFrom('a', 'b', 'c', 'd'),
+          fc.nat(3),
+          fc.integer({ min: -1, max: 10 }),
+        )
+        .map((fields) => patch(...fields)),
+    )
+    const property = fc.property(fc.array(record), (records) => {
+      let state = createConfigurationState()
+      for (const [offset, value] of records.entries()) {
+        const next = applyConfigurationRecord(state, value, offset).state
+        assert.ok(next.version >= state.version)
+        assert.equal(next.nextOffset, offset + 1)
+        state = next
+      }
+    })
+    fc.assert(property, { seed: 1 })
+  })
+})
--- /dev/null
+++ b/packages/core/src/node/configuration/patchRecord.ts
@@ -0,0 +1,21 @@
+import { z } from 'zod'
+import { CONFIGURATION_SCHEMA } from '../constants.js'
+
+const operationSchema = z.looseObject({
+  op: z.enum(['add', 'remove', 'replace', 'move', 'copy', 'test']),
+  path: z.string(),
+})
+
+/** Checks a patch record of the configuration stream. */
+export const patchRecordSchema = z.strictObject({
+  type: z.literal('patch'),
+  schema: z.literal(CONFIGURATION_SCHEMA),
+  patchId: z.string().min(1).max(64),
+  baseVersion: z.int().min(0),
+  author: z.string().min(1).max(128),
+  /** JSON Patch (RFC 6902) operations. */
+  operations: z.array(operationSchema).min(1),
+})
+
+/** A patch against a numbered version of the configuration. */
+export type PatchRecord = z.infer<typeof patchRecordSchema>
--- /dev/null
+++ b/packages/core/src/node/verdict/failureCode.ts
@@ -0,0 +1,20 @@
+/** Names the cause of a failed request; sent to the caller as `error.code`. */
+export enum FailureCode {
+  BadRequest = 'bad-request',
+  MissingKey = 'missing-key',
+  WrongKey = 'wrong-key',
+  UnknownService = 'unknown-service',
+  NotFound = 'not-found',
+  BodyTooLarge = 'body-too-large',
+  NoTarget = 'no-target',
+  Overloaded = 'overloaded',
+  LimitReached = 'limit-reached',
+  DeadlinePassed = 'deadline-passed',
+  TargetUnreachable = 'target-unreachable',
+  TargetFailed = 'target-failed',
+  TargetTimeout = 'target-timeout',
+  KeyInUse = 'key-in-use',
+  LogUnavailable = 'log-unavailable',
+  Stopping = 'stopping',
+  Internal = 'internal',
+}
--- /dev/null
+++ b/packages/daemon/src/node/__tests__/startFleet.ts
@@ -0,0 +1,190 @@
+import { randomUUID } from 'node:crypto'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { createCallerKey, ServiceKind } from '@auburnbay/core'
+import {
+  formatAddress,
+  type JsonReply,
+  requestJson,
+} from '@auburnbay/http-utils'
+import {
+  createEngine,
+  createLogService,
+  createPlainService,
+  createVmList,
+  type EngineOptions,
+  type EngineStandIn,
+  type LogServiceStandIn,
+  type PlainServiceStandIn,
+  type StandIn,
+  type VmListStandIn,
+} from '@auburnbay/stand-ins'
+import { createDaemon, type Daemon } from '../createDaemon.js'
+import { resolveSettings } from '../settings/resolveSettings.js'
+import type { Settings } from '../settings/settingsSchema.js'
+
+/** What a test fleet consists of. */
+export interface FleetOptions {
+  /** @default 1 */
+  readonly routers?: number
+  /** @default 2 */
+  readonly engines?: number
+  readonly engine?: EngineOptions
+  /** Settings on top of those of the test fleet. */
+  readonly settings?: Partial<Settings>
+}
+
+/** Routers and stand-ins in one process. */
+export interface Fleet {
+  readonly log: LogServiceStandIn
+  readonly vmList: VmListStandIn
+  readonly engines: readonly EngineStandIn[]
+  readonly plain: PlainServiceStandIn
+  readonly routers: readonly Daemon[]
+  readonly callerKey: string
+  /** Base URL of a router's listener for callers. */
+  callerUrl(router?: number): string
+  adminUrl(router?: number): string
+  /** Submits operations against the version in force. */
+  patch(operations: readonly unknown[], base: number): Promise<JsonReply>
+  stop(): Promise<void>
+}
+
+/** Operator token of test fleets. */
+export const TEST_ADMIN_TOKEN = 'test-admin-token-0123456789'
+
+const CALL_TIMEOUT_MS = 10_000
+const anyPort = { host: '127.0.0.1', port: 0 }
+
+function routerSettings(
+  index: number,
+  log: StandIn,
+  vmList: StandIn,
+  extra: Partial<Settings>,
+): Settings {
+  return {
+    router: { id: `router-${index + 1}`, dataCentre: 'dc-1' },
+    listen: { callers: anyPort, peers: anyPort, admin: anyPort },
+    logService: { url: log.url },
+    vmList: { url: vmList.url, pollMs: 50 },
+    secrets: {
+      peer: 'test-peer-secret-0123456789',
+      hint: 'test-hint-secret-0123456789',
+      admin: TEST_ADMIN_TOKEN,
+    },
+    logs: { level: 0 },
+    peers: { heartbeatMs: 50 },
+    targets: { reportMs: 50 },
+    stopping: { balancerDelayMs: 0, drainTimeoutMs: 10_000 },
+    ...extra,
+  }
+}
+
+/** Polls `check` until it holds; throws after `CALL_TIMEOUT_MS`. */
+export async function eventually(check: () => Promise<boolean> | boolean) {
+  const end = performance.now() + CALL_TIMEOUT_MS
+  while (performance.now() < end) {
+    if (await check()) return
+    await sleep(10)
+  }
+  throw new Error('the expected state was not reached')
+}
+
+async function isReady(router: Daemon): Promise<boolean> {
+  const url = `http://${formatAddress(router.addresses.callers)}/readyz`
+  const reply = await requestJson({
+    method: 'GET',
+    url,
+    timeoutMs: CALL_TIMEOUT_MS,
+  })
+  return reply.isOk() && reply.value.status === 200
+}
+
+function initialOperations(
+  engines: readonly StandIn[],
+  plain: StandIn,
+  key: unknown,
+) {
+  const add = (path: string, value: unknown) => ({ op: 'add', path, value })
+  const target = (service: string, standIn: StandIn) => ({
+    service,
+    address: formatAddress(standIn.address),
+    dataCentre: 'dc-1',
+  })
+  return [
+    add('/customers/corrib', { keys: { bridge: key } }),
+    add('/services/briefing', { kind: ServiceKind.Model }),
+    add('/services/charts', { kind: ServiceKind.Plain }),
+    ...engines.map((engine, index) =>
+      add(`/targets/engine-${index + 1}`, target('briefing', engine)),
+    ),
+    add('/targets/charts-1', target('charts', plain)),
+  ]
+}
+
+/** Starts stand-ins and routers and puts version 1 in force. */
+export async function startFleet(options: FleetOptions = {}): Promise<Fleet> {
+  const log = await createLogService()
+  const vmList = await createVmList()
+  const plain = await createPlainService()
+  const engines: EngineStandIn[] = []
+  for (let index = 0; index < (options.engines ?? 2); index += 1)
+    engines.push(await createEngine(options.engine))
+  const routers: Daemon[] = []
+  for (let index = 0; index < (options.routers ?? 1); index += 1) {
+    const extra = options.settings ?? {}
+    const settings = resolveSettings(routerSettings(index, log, vmList, extra))
+    routers.push(await createDaemon(settings._unsafeUnwrap()))
+  }
+  vmList.vms = routers.map((router, index) => ({
+    id: `router-${index + 1}`,
+    role: 'router',
+    address: formatAddress(router.addresses.peers),
+    dataCentre: 'dc-1',
+    state: 'live',
+  }))
+  const key = createCallerKey('corrib', 'bridge')
+
+  const urlOf = (part: keyof Daemon['addresses'], index: number): string => {
+    const router = routers[index]
+    if (!router) throw new Error(`there is no router ${index}`)
+    return `http://${formatAddress(router.addresses[part])}`
+  }
+  const fleet: Fleet = {
+    log,
+    vmList,
+    engines,
+    plain,
+    routers,
+    callerKey: key.text,
+    callerUrl: (index = 0) => urlOf('callers', index),
+    adminUrl: (index = 0) => urlOf('admin', index),
+    patch: async (operations, base) => {
+      const reply = await requestJson({
+        method: 'POST',
+        url: `${urlOf('admin', 0)}/config/patches`,
+        headers: { authorization: `Bearer ${TEST_ADMIN_TOKEN}` },
+        body: {
+          patchId: randomUUID(),
+          baseVersion: base,
+          author: 'test',
+          operations,
+        },
+        timeoutMs: CALL_TIMEOUT_MS,
+      })
+      return reply._unsafeUnwrap()
+    },
+    stop: async () => {
+      await Promise.all(routers.map((router) => router.stop()))
+      const standIns = [log, vmList, plain, ...engines]
+      await Promise.all(standIns.map((standIn) => standIn.close()))
+    },
+  }
+  const operations = initialOperations(engines, plain, key.stored)
+  const reply = await fleet.patch(operations, 0)
+  if (reply.status !== 200) throw new Error(JSON.stringify(reply.body))
+  await eventually(async () => {
+    const ready = await Promise.all(routers.map(isReady))
+    return ready.every(Boolean)
+  })
+  return fleet
+}
--- /dev/null
+++ b/packages/daemon/src/node/__tests__/wholePath.test.ts
@@ -0,0 +1,121 @@
+import assert from 'node:assert/strict'
+import { after, before, describe, it } from 'node:test'
+import { CACHE_HEADER, TARGET_HEADER, VERDICT_HEADER } from '@auburnbay/core'
+import { callApi, type CallerCall, callChat } from './callApi.js'
+import { eventually, type Fleet, startFleet } from './startFleet.js'
+
+describe('the whole path', () => {
+  let fleet: Fleet
+
+  before(async () => {
+    fleet = await startFleet({ routers: 2, engines: 3 })
+  })
+
+  after(() => fleet.stop())
+
+  it('brings a returning chat to its cache through another router', async () => {
+    const key = fleet.callerKey
+    const first = await callChat(fleet.callerUrl(0), key, 'voyage-1')
+    const second = await callChat(fleet.callerUrl(1), key, 'voyage-1')
+    assert.equal(first.status, 200)
+    assert.ok(first.whole)
+    assert.match(first.text, /data: \[DONE\]/)
+    assert.equal(second.headers[TARGET_HEADER], first.headers[TARGET_HEADER])
+    assert.equal(second.headers[CACHE_HEADER], 'hit')
+  })
+
+  it('brings a call to the plain service', async () => {
+    const answer = await callApi({
+      url: `${fleet.callerUrl()}/v1/services/charts/notices`,
+      method: 'POST',
+      headers: { authorization: `Bearer ${fleet.callerKey}` },
+      body: JSON.stringify({ notice: 7 }),
+    })
+    assert.equal(answer.status, 200)
+    assert.equal(answer.headers[VERDICT_HEADER], 'ran')
+    assert.equal(fleet.plain.calls.at(-1)?.path, '/notices')
+  })
+
+  it('makes the routers know each other', async () => {
+    await eventually(async () => {
+      const { TEST_ADMIN_TOKEN } = await import('./startFleet.js')
+      const answer = await callApi({
+        url: `${fleet.adminUrl(0)}/routers`,
+        headers: { authorization: `Bearer ${TEST_ADMIN_TOKEN}` },
+      })
+      return answer.text.includes('router-2')
+    })
+  })
+
+  describe('refuses bad input as not run', () => {
+    const chat = '/v1/chat/completions'
+    const cases: {
+      name: string
+      status: number
+      call: (key: string) => Omit<CallerCall, 'url'> & { path: string }
+    }[] = [
+      {
+        name: 'no key',
+        status: 401,
+        call: () => ({ path: chat, method: 'POST', body: '{}' }),
+      },
+      {
+        name: 'a wrong key',
+        status: 401,
+        call: (key) => ({
+          path: chat,
+          method: 'POST',
+          headers: { authorization: `Bearer ${key}x` },
+        }),
+      },
+      {
+        name: 'broken JSON',
+        status: 400,
+        call: (key) => ({
+          path: chat,
+          method: 'POST',
+          headers: { authorization: `Bearer ${key}` },
+          body: '{',
+        }),
+      },
+      {
+        name: 'an unknown service',
+        status: 404,
+        call: (key) => ({
+          path: '/v1/services/toString/x',
+          headers: { authorization: `Bearer ${key}` },
+        }),
+      },
+      {
+        name: 'a body that is too large',
+        status: 413,
+        call: (key) => ({
+          path: chat,
+          method: 'POST',
+          headers: { authorization: `Bearer ${key}` },
+          body: 'x'.repeat(4_194_305),
+        }),
+      },
+      {
+        name: 'headers that are too large',
+        status: 431,
+        call: () => ({ path: chat, headers: { 'x-long': 'x'.repeat(20_000) } }),
+      },
+    ]
+    for (const { name, status, call } of cases) {
+      it(name, async () => {
+        const ran = fleet.engines.reduce((sum, e) => sum + e.runs.length, 0)
+        const { path, ...rest } = call(fleet.callerKey)
+        const url = `${fleet.callerUrl()}${path}`
+        const answer = await callApi({ ...rest, url })
+        assert.equal(answer.status, status)
+        assert.equal(answer.headers[VERDICT_HEADER], 'not-run')
+        const ranAfter = fleet.engines.reduce(
+          (sum, e) => sum + e.runs.length,
+          0,
+        )
+        assert.equal(ranAfter, ran)
+      })
+    }
+  })
+})
--- /dev/null
+++ b/packages/daemon/src/node/admission/admission.ts
@@ -0,0 +1,20 @@
+import type { RequestFailure } from '@auburnbay/core'
+import type { Result } from 'neverthrow'
+import type { RoutedRequest } from '../callers/routedRequest.js'
+
+/** Leave to run; counts against limits until it is released. */
+export interface Admitted {
+  release(): void
+}
+
+/** Decides when a request may run, in order of urgency. */
+export interface Admission {
+  /** Waits for the request's turn. */
+  enter(request: RoutedRequest): Promise<Result<Admitted, RequestFailure>>
+  /** Requests that run. */
+  readonly running: number
+  /** Requests that wait. */
+  readonly waiting: number
+  /** Requests that run, by customer. */
+  runningByCustomer(): Record<string, number>
+}
--- /dev/null
+++ b/packages/daemon/src/node/callers/createCallerServer.ts
@@ -0,0 +1,157 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http'
+import { type Configuration, FailureCode, Verdict } from '@auburnbay/core'
+import {
+  BodyError,
+  closeServer,
+  listen,
+  type ListenAddress,
+  readBody,
+  sendJson,
+} from '@auburnbay/http-utils'
+import type { ConsolaInstance } from 'consola'
+import type { Metrics } from '../metrics/metrics.js'
+import type { ResolvedSettings } from '../settings/settingsSchema.js'
+import { Hop, type HopSpan, type Tracing } from '../tracing/createTracing.js'
+import type { Dispatcher } from './createDispatcher.js'
+import { createFailure } from './createFailure.js'
+import { authenticate, parseRequest } from './parseRequest.js'
+import { refuseBrokenRequest } from './refuseBrokenRequest.js'
+import { sendFailure } from './sendFailure.js'
+
+/** What the listener for callers works with. */
+export interface CallerServerOptions {
+  readonly settings: ResolvedSettings
+  readonly configuration: () => Configuration
+  readonly ready: () => boolean
+  readonly dispatcher: Dispatcher
+  readonly tracing: Tracing
+  readonly metrics: Metrics
+  readonly logger: ConsolaInstance
+}
+
+/** The listener for callers. */
+export interface CallerServer {
+  readonly address: ListenAddress
+  /** Requests under way. */
+  readonly inFlight: number
+  /** From now on new requests are refused as not run. */
+  refuseNew(): void
+  /** Resolves once the last request has ended. */
+  close(): Promise<void>
+}
+
+/** Starts listening for callers. */
+export async function createCallerServer(
+  options: CallerServerOptions,
+): Promise<CallerServer> {
+  const { settings, configuration, dispatcher, tracing, logger } = options
+  let refusing = false
+  let inFlight = 0
+
+  async function route(
+    req: IncomingMessage,
+    res: ServerResponse,
+    span: HopSpan,
+  ): Promise<void> {
+    if (refusing) {
+      const message = 'this router is stopping; try again at once'
+      sendFailure(res, createFailure(FailureCode.Stopping, message), true)
+      return
+    }
+    const cfg = configuration()
+    const nowMs = Date.now()
+    const customer = authenticate(req, cfg, nowMs)
+    if (customer.isErr()) {
+      sendFailure(res, customer.error, true)
+      return
+    }
+    const body = await readBody(req, settings.callers.maxBodyBytes)
+    if (body.isErr()) {
+      if (body.error === BodyError.Aborted) return
+      const message = `the body is over ${settings.callers.maxBodyBytes} bytes`
+      sendFailure(res, createFailure(FailureCode.BodyTooLarge, message), true)
+      return
+    }
+    const gone = new AbortController()
+    res.once('close', () => {
+      if (!res.writableFinished) gone.abort()
+    })
+    const parsed = parseRequest(req, customer.value, {
+      configuration: cfg,
+      body: body.value,
+      signal: gone.signal,
+      nowMs,
+    })
+    if (parsed.isErr()) {
+      sendFailure(res, parsed.error)
+      return
+    }
+    const { service, rank } = parsed.value
+    span.set({ customer: customer.value, service, rank })
+    const result = await dispatcher.dispatch(parsed.value, res, span.context)
+    if (result.isErr()) {
+      span.set({ verdict: result.error.verdict })
+      sendFailure(res, result.error)
+    }
+  }
+
+  async function serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    if (req.url === '/healthz') {
+      sendJson(res, 200, { healthy: true })
+      return
+    }
+    if (req.url === '/readyz') {
+      const ready = options.ready()
+      sendJson(res, ready ? 200 : 503, { ready })
+      return
+    }
+    const span = tracing.start(Hop.Accept, tracing.extract(req.headers))
+    inFlight += 1
+    try {
+      await route(req, res, span)
+      span.end()
+    } catch (error) {
+      span.end(String(error))
+      logger.debug(`A request failed: ${String(error)}.`)
+      if (res.headersSent) res.destroy()
+      else {
+        const message = 'the router failed; report the time to your operator'
+        const { Internal } = FailureCode
+        sendFailure(res, createFailure(Internal, message, Verdict.MayHaveRun))
+      }
+    } finally {
+      inFlight -= 1
+      options.metrics.count('requests', 1, { status: String(res.statusCode) })
+    }
+  }
+
+  const server = createServer(
+    {
+      maxHeaderSize: settings.callers.maxHeaderBytes,
+      headersTimeout: settings.callers.headersTimeoutMs,
+      requestTimeout: settings.callers.requestTimeoutMs,
+    },
+    (req, res) => {
+      void serve(req, res)
+    },
+  )
+  server.on('clientError', refuseBrokenRequest)
+  const address = await listen(server, settings.listen.callers)
+  return {
+    address,
+    get inFlight() {
+      return inFlight
+    },
+    refuseNew: () => {
+      refusing = true
+    },
+    close: () => closeServer(server),
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -0,0 +1,155 @@
+import { randomUUID } from 'node:crypto'
+import { performance } from 'node:perf_hooks'
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { ListenAddress } from '@auburnbay/http-utils'
+import { createAdminServer } from './admin/createAdminServer.js'
+import { createAdmission } from './admission/createAdmission.js'
+import { createCallerServer } from './callers/createCallerServer.js'
+import { createDispatcher } from './callers/createDispatcher.js'
+import { createConfigurationTailer } from './configuration/createConfigurationTailer.js'
+import { createLogClient } from './logService/createLogClient.js'
+import { createLogs } from './logging/createLogs.js'
+import { createMembership } from './membership/createMembership.js'
+import { createVmListPoller } from './membership/createVmListPoller.js'
+import { createMetrics } from './metrics/createMetrics.js'
+import { createPeerClient } from './peers/createPeerClient.js'
+import { createPeerServer } from './peers/createPeerServer.js'
+import type { Heartbeat } from './peers/heartbeat.js'
+import { createRouting } from './routing/createRouting.js'
+import type { ResolvedSettings } from './settings/settingsSchema.js'
+import { createLoadReporter } from './targets/createLoadReporter.js'
+import { createTargetClient } from './targets/createTargetClient.js'
+import { createTracing } from './tracing/createTracing.js'
+
+/** The addresses a daemon has taken. */
+export interface DaemonAddresses {
+  readonly callers: ListenAddress
+  readonly peers: ListenAddress
+  readonly admin: ListenAddress
+}
+
+/** A running router. */
+export interface Daemon {
+  readonly addresses: DaemonAddresses
+  /** Stops gracefully: no request in flight is cut off. */
+  stop(): Promise<void>
+}
+
+/** Starts a router; rejects when an address is in use. */
+export async function createDaemon(
+  settings: ResolvedSettings,
+): Promise<Daemon> {
+  const logs = createLogs(settings.logs)
+  const logger = logs.part('daemon')
+  const metrics = createMetrics(settings)
+  const tracing = createTracing(settings)
+  const now = (): number => performance.now()
+  const incarnation = randomUUID()
+  let stopping = false
+
+  const log = createLogClient(settings.logService.url)
+  const tailer = createConfigurationTailer(log, logs.part('configuration'))
+  const configuration = () => tailer.state.configuration
+  const vmList = createVmListPoller(settings.vmList, logs.part('membership'))
+  const vms = () => vmList.vms
+
+  const addressesOfTargets = () =>
+    Object.entries(configuration().targets).map(([id, { address }]) => ({
+      id,
+      address,
+    }))
+  const reporter = createLoadReporter(
+    addressesOfTargets,
+    settings.targets.reportMs,
+    now,
+  )
+  const routing = createRouting({ configuration, vms, reporter })
+  const admission = createAdmission(settings.queue)
+
+  const self = (): Heartbeat => ({
+    router: settings.router.id,
+    incarnation,
+    dataCentre: settings.router.dataCentre,
+    configurationVersion: tailer.state.version,
+    stopping,
+    digest: {
+      targets: routing.ownInFlight(),
+      customers: admission.runningByCustomer(),
+    },
+  })
+  const peerClient = createPeerClient(settings.secrets.peer)
+  const membership = createMembership({
+    settings,
+    client: peerClient,
+    vms,
+    self,
+    now,
+  })
+  const peerServer = await createPeerServer(settings, {
+    onHeartbeat: (heartbeat) => {
+      membership.heard(heartbeat)
+      return self()
+    },
+  })
+
+  const targets = createTargetClient(settings.targets)
+  const dispatcher = createDispatcher({
+    admission,
+    routing,
+    targets,
+    tracing,
+    metrics,
+  })
+  const callers = await createCallerServer({
+    settings,
+    configuration,
+    ready: () => !stopping && tailer.state.version > 0,
+    dispatcher,
+    tracing,
+    metrics,
+    logger: logs.part('callers'),
+  })
+  const admin = await createAdminServer({
+    settings,
+    log,
+    tailer,
+    membership,
+    routing,
+  })
+  const addresses = {
+    callers: callers.address,
+    peers: peerServer.address,
+    admin: admin.address,
+  }
+  logger.info(
+    `Listening for callers on ${callers.address.host}:${callers.address.port}.`,
+  )
+
+  async function stop(): Promise<void> {
+    if (stopping) return
+    stopping = true
+    logger.info('Stopping; readiness now fails.')
+    await sleep(settings.stopping.balancerDelayMs)
+    callers.refuseNew()
+    const drained = callers.close()
+    await Promise.race([
+      drained,
+      sleep(settings.stopping.drainTimeoutMs, undefined, { ref: false }),
+    ])
+    await Promise.all([
+      admin.stop(),
+      reporter.stop(),
+      vmList.stop(),
+      membership.stop(),
+      tailer.stop(),
+      peerServer.stop(),
+    ])
+    targets.close()
+    peerClient.close()
+    await tracing.close()
+    await metrics.close()
+    logger.info('Stopped.')
+  }
+
+  return { addresses, stop }
+}
--- /dev/null
+++ b/packages/daemon/src/node/logging/createLogs.ts
@@ -0,0 +1,36 @@
+import { type ConsolaInstance, createConsola } from 'consola'
+import { LogFormat } from '../settings/logFormat.js'
+import type { ResolvedSettings } from '../settings/settingsSchema.js'
+
+/** Gives each part of the daemon its logger. */
+export interface Logs {
+  /** Returns the logger whose lines start with the part's name. */
+  part(name: string): ConsolaInstance
+}
+
+function writeJsonLine(entry: {
+  date: Date
+  type: string
+  tag: string
+  args: unknown[]
+}): void {
+  const line = {
+    at: entry.date.toISOString(),
+    level: entry.type,
+    part: entry.tag,
+    message: entry.args.map(String).join(' '),
+  }
+  process.stderr.write(`${JSON.stringify(line)}\n`)
+}
+
+/** Creates the loggers of a daemon. */
+export function createLogs(settings: ResolvedSettings['logs']): Logs {
+  const root = createConsola({
+    level: settings.level,
+    stdout: process.stderr,
+    ...(settings.format === LogFormat.Json
+      ? { reporters: [{ log: writeJsonLine }] }
+      : { fancy: false }),
+  })
+  return { part: (name) => root.withTag(name) }
+}
--- /dev/null
+++ b/packages/daemon/src/node/metrics/createMetrics.ts
@@ -0,0 +1,36 @@
+import { StatsD } from 'hot-shots'
+import type { ResolvedSettings } from '../settings/settingsSchema.js'
+import type { Metrics } from './metrics.js'
+
+/** Sends metrics to StatsD, or drops them without an address. */
+export function createMetrics(settings: ResolvedSettings): Metrics {
+  const client = new StatsD({
+    host: settings.metrics?.host,
+    port: settings.metrics?.port,
+    mock: settings.metrics === undefined,
+    prefix: 'auburnbay.',
+    globalTags: {
+      router: settings.router.id,
+      data_centre: settings.router.dataCentre,
+    },
+    // A lost datagram must never stop a router.
+    errorHandler: () => undefined,
+  })
+  return {
+    count: (name, value = 1, tags = {}) => {
+      client.increment(name, value, tags)
+    },
+    gauge: (name, value, tags = {}) => {
+      client.gauge(name, value, tags)
+    },
+    timing: (name, ms, tags = {}) => {
+      client.timing(name, ms, tags)
+    },
+    close: () =>
+      new Promise((resolve) => {
+        client.close(() => {
+          resolve()
+        })
+      }),
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/node/peers/createPeerClient.ts
@@ -0,0 +1,50 @@
+import { Agent } from 'node:http'
+import { createNodeFetch, type TrafficCount } from '@auburnbay/http-utils'
+import { createTRPCClient, httpBatchLink, type TRPCClient } from '@trpc/client'
+import { PEER_CALL_TIMEOUT_MS } from '../constants.js'
+import type { Heartbeat } from './heartbeat.js'
+import type { PeerApi } from './peerApi.js'
+import { PEER_SECRET_HEADER } from './peerSecret.js'
+
+/** Calls other routers over kept connections. */
+export interface PeerClient {
+  /** Bytes of all calls so far. */
+  readonly traffic: TrafficCount
+  /** Sends a heartbeat; rejects when the peer does not answer in time. */
+  heartbeat(address: string, heartbeat: Heartbeat): Promise<Heartbeat>
+  close(): void
+}
+
+/** Creates the client for calls to other routers. */
+export function createPeerClient(secret: string): PeerClient {
+  const agent = new Agent({ keepAlive: true })
+  const traffic: TrafficCount = { sentBytes: 0, receivedBytes: 0 }
+  const clients = new Map<string, TRPCClient<PeerApi>>()
+
+  function clientOf(address: string): TRPCClient<PeerApi> {
+    const known = clients.get(address)
+    if (known) return known
+    const created = createTRPCClient<PeerApi>({
+      links: [
+        httpBatchLink({
+          url: `http://${address}`,
+          headers: { [PEER_SECRET_HEADER]: secret },
+          fetch: createNodeFetch(agent, traffic) as typeof fetch,
+        }),
+      ],
+    })
+    clients.set(address, created)
+    return created
+  }
+
+  return {
+    traffic,
+    heartbeat: (address, heartbeat) =>
+      clientOf(address).heartbeat.mutate(heartbeat, {
+        signal: AbortSignal.timeout(PEER_CALL_TIMEOUT_MS),
+      }),
+    close: () => {
+      agent.destroy()
+    },
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/node/peers/createPeerServer.ts
@@ -0,0 +1,38 @@
+import { createServer } from 'node:http'
+import { closeServer, listen, type ListenAddress } from '@auburnbay/http-utils'
+import { createHTTPHandler } from '@trpc/server/adapters/standalone'
+import type { ResolvedSettings } from '../settings/settingsSchema.js'
+import { createPeerApi, type PeerHandlers } from './peerApi.js'
+import { PEER_SECRET_HEADER, secretsMatch } from './peerSecret.js'
+
+/** The listener for calls of other routers. */
+export interface PeerServer {
+  readonly address: ListenAddress
+  stop(): Promise<void>
+}
+
+/** Starts listening for calls of other routers. */
+export async function createPeerServer(
+  settings: ResolvedSettings,
+  handlers: PeerHandlers,
+): Promise<PeerServer> {
+  const handler = createHTTPHandler({
+    router: createPeerApi(handlers),
+    createContext: ({ req }) => ({
+      authenticated: secretsMatch(
+        String(req.headers[PEER_SECRET_HEADER] ?? ''),
+        settings.secrets.peer,
+      ),
+    }),
+  })
+  const server = createServer(handler)
+  const address = await listen(server, settings.listen.peers)
+  return {
+    address,
+    stop: async () => {
+      const closed = closeServer(server)
+      server.closeAllConnections()
+      await closed
+    },
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/node/peers/peerApi.ts
@@ -0,0 +1,30 @@
+import { initTRPC, TRPCError } from '@trpc/server'
+import { type Heartbeat, heartbeatSchema } from './heartbeat.js'
+
+/** What a call between routers knows of its sender. */
+export interface PeerContext {
+  readonly authenticated: boolean
+}
+
+/** What a router does with the calls of its peers. */
+export interface PeerHandlers {
+  onHeartbeat(heartbeat: Heartbeat): Heartbeat
+}
+
+/** Creates the procedures that routers offer each other. */
+
+export function createPeerApi(handlers: PeerHandlers) {
+  const t = initTRPC.context<PeerContext>().create()
+  const procedure = t.procedure.use(({ ctx, next }) => {
+    if (!ctx.authenticated) throw new TRPCError({ code: 'UNAUTHORIZED' })
+    return next()
+  })
+  return t.router({
+    heartbeat: procedure
+      .input(heartbeatSchema)
+      .mutation(({ input }) => handlers.onHeartbeat(input)),
+  })
+}
+
+/** Type of the procedures, for the client. */
+export type PeerApi = ReturnType<typeof createPeerApi>
--- /dev/null
+++ b/packages/daemon/src/node/routing/routing.ts
@@ -0,0 +1,35 @@
+import type { RequestFailure } from '@auburnbay/core'
+import type { Result } from 'neverthrow'
+import type { RoutedRequest } from '../callers/routedRequest.js'
+import type { TargetAddress } from '../targets/targetClient.js'
+
+/** A request's place on a target; counts as load until it is released. */
+export interface Placement {
+  readonly target: TargetAddress
+  /** Hint that the caller sends with the chat's next request. */
+  readonly hint?: string
+  release(): void
+}
+
+/** Load of a target as a router knows it. */
+export interface TargetStatus {
+  readonly id: string
+  readonly service: string
+  readonly address: string
+  /** Requests in flight. */
+  readonly load: number
+  /** Load the target may reach. */
+  readonly bound: number
+}
+
+/** Chooses targets. */
+export interface Routing {
+  /** Places a request on a target that is not in `exclude`. */
+  place(
+    request: RoutedRequest,
+    exclude: ReadonlySet<string>,
+  ): Promise<Result<Placement, RequestFailure>>
+  status(): TargetStatus[]
+  /** Requests in flight from this router, by target. */
+  ownInFlight(): Record<string, number>
+}
--- /dev/null
+++ b/packages/daemon/src/node/settings/logFormat.ts
@@ -0,0 +1,5 @@
+/** How log lines are written. */
+export enum LogFormat {
+  Human = 'human',
+  Json = 'json',
+}
--- /dev/null
+++ b/packages/daemon/src/node/settings/settingsSchema.ts
@@ -0,0 +1,104 @@
+import { z } from 'zod'
+import { LogFormat } from './logFormat.js'
+
+const listenSchema = z.strictObject({
+  host: z.string().min(1),
+  /** 0 takes a free port. */
+  port: z.int().min(0).max(65_535),
+})
+
+const positiveMs = z.int().positive()
+
+/** Checks the daemon's settings file. */
+export const settingsSchema = z.strictObject({
+  router: z.strictObject({
+    id: z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/),
+    dataCentre: z.string().min(1),
+  }),
+  listen: z.strictObject({
+    callers: listenSchema,
+    peers: listenSchema,
+    admin: listenSchema,
+  }),
+  logService: z.strictObject({ url: z.url() }),
+  vmList: z.strictObject({
+    url: z.url(),
+    /** @default 1000 */
+    pollMs: positiveMs.default(1_000),
+  }),
+  secrets: z.strictObject({
+    /** Shared by all routers. */
+    peer: z.string().min(16),
+    /** Signs affinity hints. */
+    hint: z.string().min(16),
+    /** Token of the first operator. */
+    admin: z.string().min(16),
+  }),
+  logs: z
+    .strictObject({
+      /** @default "human" */
+      format: z.enum(LogFormat).default(LogFormat.Human),
+      /** 0 errors, 1 warnings, 3 information, 4 debug. @default 3 */
+      level: z.int().min(0).max(5).default(3),
+    })
+    .prefault({}),
+  /** StatsD address; metrics are off without it. */
+  metrics: z
+    .strictObject({ host: z.string(), port: z.int().min(1).max(65_535) })
+    .optional(),
+  /** OTLP address over HTTP; traces are off without it. */
+  traces: z.strictObject({ url: z.url() }).optional(),
+  callers: z
+    .strictObject({
+      /** @default 4194304 */
+      maxBodyBytes: z.int().positive().default(4_194_304),
+      /** @default 16384 */
+      maxHeaderBytes: z.int().positive().default(16_384),
+      /** Milliseconds until a request's headers must be whole. @default 5000 */
+      headersTimeoutMs: positiveMs.default(5_000),
+      /** Milliseconds until a request must be whole. @default 30000 */
+      requestTimeoutMs: positiveMs.default(30_000),
+    })
+    .prefault({}),
+  targets: z
+    .strictObject({
+      /** @default 1000 */
+      connectTimeoutMs: positiveMs.default(1_000),
+      /** Milliseconds until the first byte of an answer. @default 30000 */
+      firstByteTimeoutMs: positiveMs.default(30_000),
+      /** Milliseconds between two bytes of an answer. @default 10000 */
+      idleTimeoutMs: positiveMs.default(10_000),
+      /** Milliseconds between two load reports. @default 500 */
+      reportMs: positiveMs.default(500),
+    })
+    .prefault({}),
+  queue: z
+    .strictObject({
+      /** Requests this router has in flight at most. @default 256 */
+      maxInFlight: z.int().positive().default(256),
+      /** Requests that wait at most. @default 1024 */
+      maxWaiting: z.int().positive().default(1_024),
+    })
+    .prefault({}),
+  peers: z
+    .strictObject({
+      /** @default 500 */
+      heartbeatMs: positiveMs.default(500),
+      /** Milliseconds without a heartbeat until a peer counts as gone. @default 2000 */
+      timeoutMs: positiveMs.default(2_000),
+    })
+    .prefault({}),
+  stopping: z
+    .strictObject({
+      /** Milliseconds between failing readiness and refusing work. @default 2000 */
+      balancerDelayMs: z.int().min(0).default(2_000),
+      /** Longest wait for requests in flight, in milliseconds. @default 120000 */
+      drainTimeoutMs: positiveMs.default(120_000),
+    })
+    .prefault({}),
+})
+
+/** Settings as written by an operator. */
+export type Settings = z.input<typeof settingsSchema>
+/** Settings with every default filled in. */
+export type ResolvedSettings = z.output<typeof settingsSchema>
--- /dev/null
+++ b/packages/daemon/src/node/targets/createLoadReporter.ts
@@ -0,0 +1,58 @@
+import { Agent } from 'node:http'
+import { requestJson } from '@auburnbay/http-utils'
+import { z } from 'zod'
+import { LOAD_REPORT_TIMEOUT_MS } from '../constants.js'
+import { createLoop } from '../tasks/createLoop.js'
+import type { TargetAddress } from './targetClient.js'
+
+/** What a target said of its load. */
+export interface LoadReport {
+  readonly inFlight: number
+  /** Milliseconds of the monotonic clock. */
+  readonly atMs: number
+}
+
+/** Polls the load of targets. */
+export interface LoadReporter {
+  report(targetId: string): LoadReport | undefined
+  stop(): Promise<void>
+}
+
+const loadSchema = z.object({ inFlight: z.number().min(0) })
+
+/** Starts polling the load of the targets that `targets` names. */
+export function createLoadReporter(
+  targets: () => readonly TargetAddress[],
+  everyMs: number,
+  now: () => number,
+): LoadReporter {
+  const agent = new Agent({ keepAlive: true })
+  const reports = new Map<string, LoadReport>()
+
+  async function poll(target: TargetAddress): Promise<void> {
+    const reply = await requestJson({
+      method: 'GET',
+      url: `http://${target.address}/load`,
+      timeoutMs: LOAD_REPORT_TIMEOUT_MS,
+      agent,
+    })
+    const parsed = loadSchema.safeParse(reply.isOk() && reply.value.body)
+    if (!parsed.success) return
+    reports.set(target.id, { inFlight: parsed.data.inFlight, atMs: now() })
+  }
+
+  const loop = createLoop(
+    async () => {
+      await Promise.all(targets().map(poll))
+    },
+    everyMs,
+    () => undefined,
+  )
+  return {
+    report: (targetId) => reports.get(targetId),
+    stop: async () => {
+      await loop.stop()
+      agent.destroy()
+    },
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/node/targets/forwardedHeaders.ts
@@ -0,0 +1,56 @@
+import type { IncomingHttpHeaders, OutgoingHttpHeaders } from 'node:http'
+
+const HOP_BY_HOP = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+])
+
+const NEVER_TO_TARGETS = new Set([
+  'authorization',
+  'host',
+  'content-length',
+  'expect',
+  'traceparent',
+  'tracestate',
+  'x-auburnbay-hint',
+  'x-request-id',
+])
+
+function connectionTokens(headers: IncomingHttpHeaders): Set<string> {
+  const tokens = (headers.connection ?? '').toLowerCase().split(',')
+  return new Set(tokens.map((token) => token.trim()))
+}
+
+/** Returns the headers of a caller's request that go on to a target. */
+export function headersToTarget(
+  headers: IncomingHttpHeaders,
+): OutgoingHttpHeaders {
+  const named = connectionTokens(headers)
+  const kept: OutgoingHttpHeaders = {}
+  for (const [name, value] of Object.entries(headers)) {
+    if (HOP_BY_HOP.has(name) || NEVER_TO_TARGETS.has(name)) continue
+    if (named.has(name)) continue
+    kept[name] = value
+  }
+  return kept
+}
+
+/** Returns the headers of a target's answer that go back to the caller. */
+export function headersToCaller(
+  headers: IncomingHttpHeaders,
+): OutgoingHttpHeaders {
+  const named = connectionTokens(headers)
+  const kept: OutgoingHttpHeaders = {}
+  for (const [name, value] of Object.entries(headers)) {
+    if (HOP_BY_HOP.has(name) || named.has(name)) continue
+    kept[name] = value
+  }
+  return kept
+}
--- /dev/null
+++ b/packages/daemon/src/node/tracing/createTracing.ts
@@ -0,0 +1,94 @@
+import {
+  type Context,
+  context,
+  defaultTextMapGetter,
+  defaultTextMapSetter,
+  type Span,
+  SpanStatusCode,
+  trace,
+} from '@opentelemetry/api'
+import { W3CTraceContextPropagator } from '@opentelemetry/core'
+import { OTLPTraceExporter } from '@opentelemetry/exporter-trace-otlp-http'
+import { resourceFromAttributes } from '@opentelemetry/resources'
+import {
+  BasicTracerProvider,
+  BatchSpanProcessor,
+  type SpanProcessor,
+} from '@opentelemetry/sdk-trace-base'
+import type { ResolvedSettings } from '../settings/settingsSchema.js'
+
+/** The hops of a request's path. */
+export enum Hop {
+  Accept = 'accept',
+  Queue = 'queue',
+  Decide = 'decide',
+  Peer = 'peer',
+  Target = 'target',
+  Resume = 'resume',
+}
+
+/** What a span says of a request. */
+export type SpanFields = Record<string, string | number | boolean>
+
+/** A span that is under way. */
+export interface HopSpan {
+  readonly context: Context
+  set(fields: SpanFields): void
+  /** Ends the span; a message marks it as failed. */
+  end(failure?: string): void
+}
+
+/** Creates the spans of a request's path. */
+export interface Tracing {
+  /** Reads the caller's trace context from request headers. */
+  extract(headers: Record<string, unknown>): Context
+  /** Returns the headers that carry a trace context on. */
+  inject(parent: Context): Record<string, string>
+  start(hop: Hop, parent: Context, fields?: SpanFields): HopSpan
+  close(): Promise<void>
+}
+
+function wrap(span: Span, parent: Context): HopSpan {
+  return {
+    context: trace.setSpan(parent, span),
+    set: (fields) => {
+      span.setAttributes(fields)
+    },
+    end: (failure) => {
+      if (failure !== undefined)
+        span.setStatus({ code: SpanStatusCode.ERROR, message: failure })
+      span.end()
+    },
+  }
+}
+
+/** Creates tracing that exports over OTLP, or only passes the context on. */
+export function createTracing(
+  settings: ResolvedSettings,
+  extraProcessors: SpanProcessor[] = [],
+): Tracing {
+  const exporting = settings.traces
+    ? [new BatchSpanProcessor(new OTLPTraceExporter(settings.traces))]
+    : []
+  const provider = new BasicTracerProvider({
+    resource: resourceFromAttributes({
+      'service.name': 'auburnbay',
+      'service.instance.id': settings.router.id,
+    }),
+    spanProcessors: [...exporting, ...extraProcessors],
+  })
+  const tracer = provider.getTracer('auburnbay')
+  const propagator = new W3CTraceContextPropagator()
+  return {
+    extract: (headers) =>
+      propagator.extract(context.active(), headers, defaultTextMapGetter),
+    inject: (parent) => {
+      const carrier: Record<string, string> = {}
+      propagator.inject(parent, carrier, defaultTextMapSetter)
+      return carrier
+    },
+    start: (hop, parent, fields = {}) =>
+      wrap(tracer.startSpan(hop, { attributes: fields }, parent), parent),
+    close: () => provider.shutdown(),
+  }
+}
--- /dev/null
+++ b/packages/http-utils/src/node/index.ts
@@ -0,0 +1,5 @@
+export * from './createNodeFetch.js'
+export * from './listen.js'
+export * from './readBody.js'
+export * from './requestJson.js'
+export * from './sendJson.js'
--- /dev/null
+++ b/packages/http-utils/src/node/listen.ts
@@ -0,0 +1,38 @@
+import type { Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+
+/** Where a server listens; port 0 takes a free one. */
+export interface ListenAddress {
+  readonly host: string
+  readonly port: number
+}
+
+/** Starts listening and returns the address taken; rejects when it is in use. */
+export function listen(
+  server: Server,
+  address: ListenAddress,
+): Promise<ListenAddress> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(address.port, address.host, () => {
+      server.off('error', reject)
+      const { port } = server.address() as AddressInfo
+      resolve({ host: address.host, port })
+    })
+  })
+}
+
+/** Stops listening and resolves once every connection has ended. */
+export function closeServer(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => {
+      resolve()
+    })
+    server.closeIdleConnections()
+  })
+}
+
+/** Writes an address as `host:port`. */
+export function formatAddress(address: ListenAddress): string {
+  return `${address.host}:${address.port}`
+}
--- /dev/null
+++ b/packages/measure/src/node/index.ts
@@ -0,0 +1,3 @@
+export * from './figure.js'
+export type { MeasureGroup } from './measureGroup.js'
+export { measureGroups } from './measureGroups.js'
--- /dev/null
+++ b/packages/measure/src/node/measureGroups.ts
@@ -0,0 +1,5 @@
+import type { MeasureGroup } from './measureGroup.js'
+import { routingMeasures } from './routing/routingMeasures.js'
+
+/** Every group, in the order in which they run. */
+export const measureGroups: readonly MeasureGroup[] = [routingMeasures]
--- /dev/null
+++ b/packages/stand-ins/src/node/server/createStandIn.ts
@@ -0,0 +1,78 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http'
+import {
+  formatAddress,
+  listen,
+  type ListenAddress,
+  readBody,
+  sendJson,
+} from '@auburnbay/http-utils'
+import { MAX_BODY_BYTES } from '../constants.js'
+import type { StandIn } from './standIn.js'
+
+/** One request to a stand-in, with its JSON body read. */
+export interface StandInRequest {
+  readonly req: IncomingMessage
+  readonly res: ServerResponse
+  readonly method: string
+  readonly url: URL
+  readonly body: unknown
+}
+
+/** Serves one request of a stand-in. */
+export type StandInHandler = (call: StandInRequest) => Promise<void> | void
+
+function parseJson(text: string): unknown {
+  try {
+    return text === '' ? undefined : JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
+
+async function serve(
+  handler: StandInHandler,
+  req: IncomingMessage,
+  res: ServerResponse,
+): Promise<void> {
+  const body = await readBody(req, MAX_BODY_BYTES)
+  if (body.isErr()) {
+    res.destroy()
+    return
+  }
+  await handler({
+    req,
+    res,
+    method: req.method ?? 'GET',
+    url: new URL(req.url ?? '/', 'http://stand-in'),
+    body: parseJson(body.value.toString('utf8')),
+  })
+}
+
+/** Starts an HTTP server for a stand-in. */
+export async function createStandIn(
+  handler: StandInHandler,
+  address: ListenAddress = { host: '127.0.0.1', port: 0 },
+): Promise<StandIn> {
+  const server = createServer((req, res) => {
+    serve(handler, req, res).catch((error: unknown) => {
+      if (res.headersSent) res.destroy()
+      else sendJson(res, 500, { error: String(error) })
+    })
+  })
+  const taken = await listen(server, address)
+  return {
+    address: taken,
+    url: `http://${formatAddress(taken)}`,
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => {
+          resolve()
+        })
+        server.closeAllConnections()
+      }),
+  }
+}
--- /dev/null
+++ b/playground/corrib/src/node/index.ts
@@ -0,0 +1,1 @@
+export { createCorribConfiguration } from './corribConfiguration.js'
