Order waiting requests by rank, weighted share and deadline

Cause: the queue knew ranks only: one customer could fill it, a low rank could starve, and a full queue refused the newcomer whatever its rank. Change: a pure bounded queue. Rank first, one better for each ageing interval waited; then the customer with the least service per weight (start-time fair queueing); then the deadline. When full, the lowest rank goes first, then the customer that crowds the queue, then the latest. Excluded: a heap per rank (ranks change with time, shares with each take).

--- /dev/null
+++ b/packages/core/src/node/admission/__tests__/createRequestQueue.test.ts
@@ -0,0 +1,151 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import { createRequestQueue } from '../createRequestQueue.js'
+import { effectiveRank } from '../effectiveRank.js'
+import type { WaitingRequest } from '../waitingRequest.js'
+import { NaiveQueue } from './naiveQueue.js'
+
+const AGEING_MS = 100
+const WEIGHTS: Record<string, number> = { a: 1, b: 2, c: 4 }
+
+function request(fields: Partial<WaitingRequest>): WaitingRequest {
+  const customer = fields.customer ?? 'a'
+  return {
+    id: 'r',
+    rank: 5,
+    weight: WEIGHTS[customer] ?? 1,
+    enqueuedAtMs: 0,
+    deadlineAtMs: 10_000,
+    ...fields,
+    customer,
+  }
+}
+
+enum StepKind {
+  Offer = 'offer',
+  Take = 'take',
+  Remove = 'remove',
+}
+
+const steps = fc.array(
+  fc.record({
+    kind: fc.constantFrom(
+      StepKind.Offer,
+      StepKind.Offer,
+      ...Object.values(StepKind),
+    ),
+    rank: fc.nat(9),
+    customer: fc.constantFrom('a', 'b', 'c'),
+    deadline: fc.nat(5),
+    pauseMs: fc.nat(80),
+    pick: fc.nat(30),
+  }),
+  { maxLength: 80 },
+)
+
+describe('createRequestQueue', () => {
+  it('agrees with a queue that sorts everything at each step', () => {
+    const property = fc.property(
+      steps,
+      fc.integer({ min: 1, max: 8 }),
+      (list, capacity) => {
+        const queue = createRequestQueue({ capacity, ageingMs: AGEING_MS })
+        const naive = new NaiveQueue(capacity, AGEING_MS)
+        let nowMs = 0
+        for (const [index, step] of list.entries()) {
+          nowMs += step.pauseMs
+          if (step.kind === StepKind.Take) {
+            assert.equal(queue.take(nowMs)?.id, naive.take(nowMs))
+          } else if (step.kind === StepKind.Remove) {
+            queue.remove(String(step.pick))
+            naive.remove(String(step.pick))
+          } else {
+            const offered = request({
+              id: String(index),
+              rank: step.rank,
+              customer: step.customer,
+              enqueuedAtMs: nowMs,
+              deadlineAtMs: nowMs + step.deadline,
+            })
+            assert.equal(queue.offer(offered)?.id, naive.offer(offered))
+          }
+          assert.ok(queue.size <= capacity)
+        }
+      },
+    )
+    fc.assert(property, { seed: 41, numRuns: 300 })
+  })
+
+  it('never runs a request before one of a better rank after ageing', () => {
+    const property = fc.property(steps, (list) => {
+      const queue = createRequestQueue({ capacity: 50, ageingMs: AGEING_MS })
+      let nowMs = 0
+      for (const [index, step] of list.entries()) {
+        nowMs += step.pauseMs
+        if (step.kind !== StepKind.Take) {
+          queue.offer(
+            request({ ...step, id: String(index), enqueuedAtMs: nowMs }),
+          )
+          continue
+        }
+        const taken = queue.take(nowMs)
+        if (!taken) continue
+        const rank = effectiveRank(taken, nowMs, AGEING_MS)
+        for (const other of queue.requests())
+          assert.ok(rank <= effectiveRank(other, nowMs, AGEING_MS))
+      }
+    })
+    fc.assert(property, { seed: 42 })
+  })
+
+  it('sheds the lowest rank first, the newcomer included', () => {
+    const queue = createRequestQueue({ capacity: 2, ageingMs: AGEING_MS })
+    queue.offer(request({ id: 'low', rank: 8 }))
+    queue.offer(request({ id: 'mid', rank: 5 }))
+    assert.equal(queue.offer(request({ id: 'top', rank: 0 }))?.id, 'low')
+    assert.equal(queue.offer(request({ id: 'late', rank: 9 }))?.id, 'late')
+    assert.equal(queue.take(0)?.id, 'top')
+  })
+
+  it('serves a low rank though urgent requests keep coming', () => {
+    const queue = createRequestQueue({ capacity: 50, ageingMs: AGEING_MS })
+    queue.offer(request({ id: 'low', rank: 9, customer: 'b' }))
+    let nowMs = 0
+    let served: string | undefined
+    while (served !== 'low' && nowMs < 20 * AGEING_MS) {
+      nowMs += 10
+      queue.offer(request({ id: `top-${nowMs}`, rank: 0, enqueuedAtMs: nowMs }))
+      served = queue.take(nowMs)?.id
+    }
+    assert.equal(served, 'low')
+    assert.ok(nowMs <= 10 * AGEING_MS)
+  })
+
+  it('serves customers by weight while one crowds the queue', () => {
+    const queue = createRequestQueue({ capacity: 500, ageingMs: 1e9 })
+    const served = new Map<string, number>()
+    for (let index = 0; index < 400; index += 1) {
+      const customer = index < 200 ? 'a' : index < 300 ? 'b' : 'c'
+      queue.offer(request({ id: String(index), customer, enqueuedAtMs: index }))
+    }
+    for (let index = 0; index < 70; index += 1) {
+      const customer = queue.take(400)?.customer ?? ''
+      served.set(customer, (served.get(customer) ?? 0) + 1)
+    }
+    assert.deepEqual(Object.fromEntries(served), { a: 10, b: 20, c: 40 })
+  })
+
+  it('gives a customer that was away no claim to the time it missed', () => {
+    const queue = createRequestQueue({ capacity: 500, ageingMs: 1e9 })
+    for (let index = 0; index < 200; index += 1)
+      queue.offer(request({ id: `a${index}`, enqueuedAtMs: index }))
+    for (let index = 0; index < 100; index += 1) queue.take(200)
+    for (let index = 0; index < 100; index += 1)
+      queue.offer(
+        request({ id: `d${index}`, customer: 'd', enqueuedAtMs: 200 }),
+      )
+    const next = Array.from({ length: 20 }, () => queue.take(200)?.customer)
+    assert.equal(next.filter((customer) => customer === 'd').length, 10)
+  })
+})
