--- a/packages/core/src/node/configuration/configurationSchema.ts
+++ b/packages/core/src/node/configuration/configurationSchema.ts
@@ -34,6 +34,8 @@
   address: z.string().regex(/^[^:/\s]+:\d{1,5}$/),
   dataCentre: id,
   weight: z.number().positive().default(1),
+  /** Requests the target takes at once; the excess waits in the routers. */
+  maxInFlight: z.int().positive().optional(),
   /** Whether the target refuses orders with an old fencing token. */
   checksFencing: z.boolean().default(false),
 })
--- /dev/null
+++ b/packages/core/src/node/limits/__tests__/fleetAllowance.test.ts
@@ -0,0 +1,122 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import { fleetAllowance } from '../fleetAllowance.js'
+import { fleetShare } from '../fleetShare.js'
+
+const STALE_MS = 750
+const HOLD_MS = 60_000
+const routersOf = (count: number) =>
+  Array.from({ length: count }, (_, index) => `router-${index}`)
+
+function allowanceOf(
+  limit: number,
+  routers: readonly string[],
+  self: string,
+  view: (router: string) => { used: number; ageMs: number },
+): number {
+  const others = routers.filter((router) => router !== self)
+  return fleetAllowance({
+    limit,
+    key: 'customer',
+    router: self,
+    peers: others.map((router) => ({ router, ...view(router) })),
+    staleMs: STALE_MS,
+    holdMs: HOLD_MS,
+  })
+}
+
+describe('fleetShare', () => {
+  it('adds up to the limit, no share more than one above another', () => {
+    const property = fc.property(
+      fc.nat(200),
+      fc.integer({ min: 1, max: 40 }),
+      fc.string(),
+      (limit, count, key) => {
+        const routers = routersOf(count)
+        const shares = routers.map((id) => fleetShare(limit, key, id, routers))
+        assert.equal(
+          shares.reduce((sum, share) => sum + share, 0),
+          limit,
+        )
+        assert.ok(Math.max(...shares) - Math.min(...shares) <= 1)
+      },
+    )
+    fc.assert(property, { seed: 51 })
+  })
+
+  it('gives nothing to a router that is not in the list', () => {
+    assert.equal(fleetShare(10, 'key', 'stranger', ['a', 'b']), 0)
+  })
+})
+
+describe('fleetAllowance', () => {
+  it('is what fresh peers leave over', () => {
+    const allowance = allowanceOf(10, routersOf(3), 'router-0', () => ({
+      used: 3,
+      ageMs: 100,
+    }))
+    assert.equal(allowance, 4)
+  })
+
+  it('adds up to the limit when no router hears another', () => {
+    const property = fc.property(
+      fc.nat(60),
+      fc.integer({ min: 1, max: 12 }),
+      (limit, count) => {
+        const routers = routersOf(count)
+        let sum = 0
+        for (const self of routers)
+          sum += allowanceOf(limit, routers, self, () => ({
+            used: 0,
+            ageMs: Infinity,
+          }))
+        assert.equal(sum, limit)
+      },
+    )
+    fc.assert(property, { seed: 52 })
+  })
+
+  it('keeps the fleet within the limit when digests are cut under way', () => {
+    const property = fc.property(
+      fc.integer({ min: 1, max: 40 }),
+      fc.array(fc.nat(6), { minLength: 2, maxLength: 9 }),
+      (limit, wanted) => {
+        const routers = routersOf(wanted.length)
+        let total = 0
+        const used = wanted.map((want) => {
+          const got = Math.min(want, limit - total)
+          total += got
+          return got
+        })
+        const usedOf = (router: string) => used[routers.indexOf(router)] ?? 0
+        let after = 0
+        for (const [index, self] of routers.entries()) {
+          const allowance = allowanceOf(limit, routers, self, (router) => ({
+            used: usedOf(router),
+            ageMs: STALE_MS + 1,
+          }))
+          after += Math.max(used[index] ?? 0, allowance)
+        }
+        assert.ok(after <= limit)
+      },
+    )
+    fc.assert(property, { seed: 53 })
+  })
+
+  it('keeps the two halves of a parted fleet within the limit', () => {
+    const routers = routersOf(6)
+    const inHalf = (router: string, half: number) =>
+      routers.indexOf(router) % 2 === half
+    let sum = 0
+    for (const half of [0, 1]) {
+      // Peers of the same half report no use; the other half is not heard.
+      const self = routers.find((router) => inHalf(router, half)) ?? ''
+      sum += allowanceOf(13, routers, self, (router) => ({
+        used: 0,
+        ageMs: inHalf(router, half) ? 100 : Infinity,
+      }))
+    }
+    assert.equal(sum, 13)
+  })
+})
