Queue requests per service in the daemon

Cause: one p-queue for all services, ordered by rank, counted requests of the router alone; a saturated service failed requests with no-target. Change: a p-queue per service whose queue class follows the core's order; its concurrency is the router's part of what the targets take (optional maxInFlight of a target); a request without a place waits, and the queue of its service stands still meanwhile. Shed, expired and abandoned requests are answered as not run. Customer limits are checked on entry against the digests of heartbeats.

--- /dev/null
+++ b/packages/daemon/src/node/admission/__tests__/createWaitingRouting.test.ts
@@ -0,0 +1,115 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import {
+  type Configuration,
+  configurationSchema,
+  FailureCode,
+  ServiceKind,
+} from '@auburnbay/core'
+import { err, ok } from 'neverthrow'
+import { createFailure } from '../../callers/createFailure.js'
+import type { RoutedRequest } from '../../callers/routedRequest.js'
+import type { Placement, Routing } from '../../routing/routing.js'
+import type { Admission } from '../admission.js'
+import { createWaitingRouting } from '../createWaitingRouting.js'
+
+const cfg: Configuration = configurationSchema.parse({
+  services: { briefing: { kind: ServiceKind.Model } },
+  targets: {
+    'engine-1': {
+      service: 'briefing',
+      address: '127.0.0.1:1',
+      dataCentre: 'dc-1',
+    },
+  },
+})
+
+function request(fields: Partial<RoutedRequest> = {}): RoutedRequest {
+  return {
+    id: 'r',
+    customer: 'corrib',
+    service: 'briefing',
+    serviceKind: ServiceKind.Model,
+    chat: '',
+    requestKind: '',
+    rank: 5,
+    idempotent: true,
+    method: 'POST',
+    path: '/',
+    headers: {},
+    body: Buffer.alloc(0),
+    signal: new AbortController().signal,
+    ...fields,
+  }
+}
+
+function setUp(fullFor: number) {
+  const seen = { tries: 0, held: 0, released: 0 }
+  const placement: Placement = {
+    target: { id: 'engine-1', address: '127.0.0.1:1' },
+    release: () => {
+      seen.released += 1
+    },
+  }
+  const routing: Routing = {
+    status: () => [],
+    ownInFlight: () => ({}),
+    place: () => {
+      seen.tries += 1
+      const full = createFailure(FailureCode.NoTarget, 'full')
+      return Promise.resolve(seen.tries > fullFor ? ok(placement) : err(full))
+    },
+  }
+  const admission: Pick<Admission, 'holdBack'> = {
+    async holdBack(_service, wait) {
+      seen.held += 1
+      const result = await wait()
+      seen.held -= 1
+      return result
+    },
+  }
+  const waiting = createWaitingRouting({
+    routing,
+    admission: admission as Admission,
+    configuration: () => cfg,
+    maxWaitMs: 10_000,
+    epochNow: Date.now,
+  })
+  return { waiting, seen }
+}
+
+describe('createWaitingRouting', () => {
+  it('waits while every target is at its bound', async () => {
+    const { waiting, seen } = setUp(3)
+    const placed = await waiting.place(request(), new Set())
+    assert.ok(placed.isOk())
+    assert.deepEqual(seen, { tries: 4, held: 0, released: 0 })
+  })
+
+  it('gives up as not run when the deadline passes', async () => {
+    const { waiting, seen } = setUp(Infinity)
+    const deadlineAtMs = Date.now() + 50
+    const placed = await waiting.place(request({ deadlineAtMs }), new Set())
+    const failure = placed._unsafeUnwrapErr()
+    assert.equal(failure.code, FailureCode.DeadlinePassed)
+    assert.equal(failure.verdict, 'not-run')
+    assert.equal(seen.held, 0)
+  })
+
+  it('gives up when the caller goes away', async () => {
+    const { waiting, seen } = setUp(Infinity)
+    const gone = new AbortController()
+    const placing = waiting.place(request({ signal: gone.signal }), new Set())
+    gone.abort()
+    assert.ok((await placing).isErr())
+    assert.equal(seen.held, 0)
+  })
+
+  it('does not wait for a service without targets, or in a retry', async () => {
+    const { waiting, seen } = setUp(Infinity)
+    const unknown = await waiting.place(request({ service: 'x' }), new Set())
+    const retry = await waiting.place(request(), new Set(['engine-1']))
+    assert.ok(unknown.isErr() && retry.isErr())
+    assert.equal(seen.tries, 2)
+  })
+})
--- /dev/null
+++ b/packages/daemon/src/node/admission/__tests__/openCall.ts
@@ -0,0 +1,57 @@
+import { Agent, request } from 'node:http'
+import type { CallerAnswer } from '../../__tests__/callApi.js'
+
+/** A request whose caller may go away. */
+export interface OpenCall {
+  readonly answer: Promise<CallerAnswer | undefined>
+  /** Closes the connection, as a caller that goes away does. */
+  leave(): void
+}
+
+/** What an open call sends. */
+export interface OpenCallOptions {
+  readonly url: string
+  readonly key: string
+  readonly prompt: string
+  readonly headers?: Record<string, string>
+}
+
+/** Sends a streamed chat request; the answer is undefined after `leave`. */
+export function openCall(options: OpenCallOptions): OpenCall {
+  const agent = new Agent({ keepAlive: false })
+  const req = request(`${options.url}/v1/chat/completions`, {
+    method: 'POST',
+    agent,
+    headers: {
+      authorization: `Bearer ${options.key}`,
+      'content-type': 'application/json',
+      ...options.headers,
+    },
+  })
+  const answer = new Promise<CallerAnswer | undefined>((resolve) => {
+    req.once('error', () => {
+      resolve(undefined)
+    })
+    req.once('response', (res) => {
+      let text = ''
+      res.setEncoding('utf8')
+      res.on('data', (chunk: string) => {
+        text += chunk
+      })
+      res.once('error', () => undefined)
+      res.once('close', () => {
+        const { statusCode = 0, headers, complete } = res
+        resolve({ status: statusCode, headers, text, whole: complete })
+      })
+    })
+  })
+  const content = options.prompt
+  const messages = [{ role: 'user', content }]
+  req.end(JSON.stringify({ model: 'briefing', stream: true, messages }))
+  return {
+    answer,
+    leave: () => {
+      req.destroy()
+    },
+  }
+}
--- a/packages/daemon/src/node/admission/admission.ts
+++ b/packages/daemon/src/node/admission/admission.ts
@@ -15,6 +15,11 @@
   readonly running: number
   /** Requests that wait. */
   readonly waiting: number
-  /** Requests that run, by customer. */
-  runningByCustomer(): Record<string, number>
+  /** Requests that wait or run, by customer. */
+  inFlightByCustomer(): Record<string, number>
+  /** Requests that each customer started of late, within its rate's window. */
+  startedByCustomer(): Record<string, number>
+  /** Holds the queue of a service back while `wait` goes on. */
+  holdBack<T>(service: string, wait: () => Promise<T>): Promise<T>
+  stop(): Promise<void>
 }
--- a/packages/daemon/src/node/admission/createAdmission.ts
+++ b/packages/daemon/src/node/admission/createAdmission.ts
@@ -1,66 +1,129 @@
-import { FailureCode, type RequestFailure } from '@auburnbay/core'
-import { err, ok, type Result } from 'neverthrow'
-import PQueue from 'p-queue'
-import { createFailure } from '../callers/createFailure.js'
+import type { Configuration, WaitingRequest } from '@auburnbay/core'
+import { err, ok } from 'neverthrow'
 import type { RoutedRequest } from '../callers/routedRequest.js'
+import type { Metrics } from '../metrics/metrics.js'
 import type { ResolvedSettings } from '../settings/settingsSchema.js'
-import type { Admission, Admitted } from './admission.js'
+import { createLoop } from '../tasks/createLoop.js'
+import type { Admission } from './admission.js'
+import { createServiceQueue, type ServiceQueue } from './createServiceQueue.js'
+import { leaveFailure } from './leaveFailure.js'
+import type { CustomerLimits } from '../limits/customerLimits.js'
 
-const RETRY_AFTER_S = 1
+/** What admission works with. */
+export interface AdmissionOptions {
+  readonly settings: ResolvedSettings['queue']
+  readonly configuration: () => Configuration
+  readonly limits: CustomerLimits
+  /** Requests of a service that this router may have in flight. */
+  readonly concurrency: (service: string) => number
+  readonly metrics: Metrics
+  /** Milliseconds of the monotonic clock. */
+  readonly now: () => number
+  /** Milliseconds since the epoch. */
+  readonly epochNow: () => number
+}
+
+/** Milliseconds between two looks at the room that peers leave. */
+const REFRESH_MS = 50
+/** Milliseconds between two reports of the queues' lengths. */
+const REPORT_MS = 1_000
 
-/** Creates admission with a bounded queue ordered by rank. */
-export function createAdmission(
-  settings: ResolvedSettings['queue'],
-): Admission {
-  const queue = new PQueue({ concurrency: settings.maxInFlight })
-  const running = new Map<string, number>()
+/** Creates admission with a bounded queue for each service. */
+export function createAdmission(options: AdmissionOptions): Admission {
+  const { settings, configuration, limits, concurrency, metrics, now } = options
+  const queues = new Map<string, ServiceQueue>()
 
-  function add(customer: string, change: number): void {
-    const count = (running.get(customer) ?? 0) + change
-    if (count === 0) running.delete(customer)
-    else running.set(customer, count)
+  function queueOf(service: string): ServiceQueue {
+    const known = queues.get(service)
+    if (known) return known
+    const queue = createServiceQueue(settings, now)
+    queues.set(service, queue)
+    return queue
   }
 
-  function enter(
-    request: RoutedRequest,
-  ): Promise<Result<Admitted, RequestFailure>> {
-    if (queue.size >= settings.maxWaiting) {
-      const message = 'too many requests wait; try again later'
-      const { Overloaded } = FailureCode
-      return Promise.resolve(
-        err(createFailure(Overloaded, message, undefined, RETRY_AFTER_S)),
-      )
+  function toWaiting(request: RoutedRequest): WaitingRequest {
+    const { id, rank, customer, deadlineAtMs } = request
+    const waitMs =
+      deadlineAtMs === undefined
+        ? settings.maxWaitMs
+        : deadlineAtMs - options.epochNow()
+    return {
+      id,
+      rank,
+      customer,
+      weight: configuration().customers[customer]?.weight ?? 1,
+      enqueuedAtMs: now(),
+      deadlineAtMs: now() + waitMs,
     }
-    return new Promise((resolve) => {
-      const run = (): Promise<void> =>
-        new Promise((release) => {
-          add(request.customer, 1)
-          resolve(
-            ok({
-              release: () => {
-                add(request.customer, -1)
-                release()
-              },
-            }),
-          )
-        })
-      queue
-        .add(run, { priority: -request.rank, signal: request.signal })
-        .catch(() => {
-          const message = 'the caller went away while the request waited'
-          resolve(err(createFailure(FailureCode.DeadlinePassed, message)))
-        })
+  }
+
+  async function enter(request: RoutedRequest) {
+    const { service, customer, rank } = request
+    const taken = limits.take(customer)
+    if (taken.isErr()) return err(taken.error)
+    const queue = queueOf(service)
+    queue.setConcurrency(concurrency(service))
+    const waiting = toWaiting(request)
+    const entered = await queue.enter(waiting, request.signal)
+    const tags = { service, rank: String(rank) }
+    metrics.timing('queue.wait', now() - waiting.enqueuedAtMs, tags)
+    if (entered.isErr()) {
+      taken.value()
+      metrics.count(`queue.${entered.error}`, 1, tags)
+      return err(leaveFailure(entered.error))
+    }
+    return ok({
+      release: () => {
+        taken.value()
+        entered.value()
+      },
     })
   }
 
+  function refresh(): Promise<void> {
+    for (const [service, queue] of queues)
+      if (queue.waiting > 0) queue.setConcurrency(concurrency(service))
+    return Promise.resolve()
+  }
+
+  function report(): Promise<void> {
+    for (const [service, queue] of queues) {
+      for (const [rank, count] of queue.waitingByRank())
+        metrics.gauge('queue.waiting', count, { service, rank: String(rank) })
+    }
+    return Promise.resolve()
+  }
+
+  function sum(count: (queue: ServiceQueue) => number): number {
+    let total = 0
+    for (const queue of queues.values()) total += count(queue)
+    return total
+  }
+
+  const loops = [
+    createLoop(refresh, REFRESH_MS, () => undefined),
+    createLoop(report, REPORT_MS, () => undefined),
+  ]
   return {
     enter,
-    runningByCustomer: () => Object.fromEntries(running),
+    inFlightByCustomer: () => limits.inFlight(),
+    startedByCustomer: () => limits.started(),
+    async holdBack(service, wait) {
+      const resume = queueOf(service).holdBack()
+      try {
+        return await wait()
+      } finally {
+        resume()
+      }
+    },
     get running() {
-      return queue.pending
+      return sum((queue) => queue.running)
     },
     get waiting() {
-      return queue.size
+      return sum((queue) => queue.waiting)
+    },
+    stop: async () => {
+      await Promise.all(loops.map((loop) => loop.stop()))
     },
   }
 }
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -3,10 +3,16 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { ListenAddress } from '@auburnbay/http-utils'
 import { createAdminServer } from './admin/createAdminServer.js'
+import type { Admission } from './admission/admission.js'
 import { createAdmission } from './admission/createAdmission.js'
+import { createWaitingRouting } from './admission/createWaitingRouting.js'
 import { createCallerServer } from './callers/createCallerServer.js'
 import { createDispatcher } from './callers/createDispatcher.js'
 import { createConfigurationTailer } from './configuration/createConfigurationTailer.js'
+import { STALE_HEARTBEATS } from './limits/constants.js'
+import { createCustomerLimits } from './limits/createCustomerLimits.js'
+import { createFleetUsage } from './limits/createFleetUsage.js'
+import { createServiceConcurrency } from './limits/createServiceConcurrency.js'
 import { createLogClient } from './logService/createLogClient.js'
 import { createLogs } from './logging/createLogs.js'
 import { createMembership } from './membership/createMembership.js'
@@ -31,6 +37,8 @@
 /** A running router. */
 export interface Daemon {
   readonly addresses: DaemonAddresses
+  /** Requests that run and that wait. */
+  readonly load: Pick<Admission, 'running' | 'waiting'>
   /** Stops gracefully: no request in flight is cut off. */
   stop(): Promise<void>
 }
@@ -64,7 +72,35 @@
     now,
   )
   const routing = createRouting({ configuration, vms, reporter })
-  const admission = createAdmission(settings.queue)
+  const staleMs = settings.peers.heartbeatMs * STALE_HEARTBEATS
+  const usage = createFleetUsage({
+    router: settings.router.id,
+    membership: () => membership,
+    vms,
+    now,
+  })
+  const limited = {
+    router: settings.router.id,
+    staleMs,
+    configuration,
+    usage,
+    metrics,
+    now,
+  }
+  const concurrency = createServiceConcurrency({
+    ...limited,
+    settings: settings.queue,
+    eligible: () => true,
+  })
+  const admission = createAdmission({
+    settings: settings.queue,
+    configuration,
+    limits: createCustomerLimits(limited),
+    concurrency,
+    metrics,
+    now,
+    epochNow: Date.now,
+  })
 
   const self = (): Heartbeat => ({
     router: settings.router.id,
@@ -74,7 +110,8 @@
     stopping,
     digest: {
       targets: routing.ownInFlight(),
-      customers: admission.runningByCustomer(),
+      customers: admission.inFlightByCustomer(),
+      started: admission.startedByCustomer(),
     },
   })
   const peerClient = createPeerClient(settings.secrets.peer)
@@ -95,7 +132,13 @@
   const targets = createTargetClient(settings.targets)
   const dispatcher = createDispatcher({
     admission,
-    routing,
+    routing: createWaitingRouting({
+      routing,
+      admission,
+      configuration,
+      maxWaitMs: settings.queue.maxWaitMs,
+      epochNow: Date.now,
+    }),
     targets,
     tracing,
     metrics,
@@ -141,6 +184,7 @@
       reporter.stop(),
       vmList.stop(),
       membership.stop(),
+      admission.stop(),
       tailer.stop(),
       peerServer.stop(),
     ])
@@ -151,5 +195,5 @@
     logger.info('Stopped.')
   }
 
-  return { addresses, stop }
+  return { addresses, load: admission, stop }
 }
--- /dev/null
+++ b/packages/daemon/src/node/limits/createFleetUsage.ts
@@ -0,0 +1,63 @@
+import { type PeerUsage, type VmEntry, VmRole } from '@auburnbay/core'
+import type { Membership } from '../membership/createMembership.js'
+import type { Digest } from '../peers/heartbeat.js'
+import { DIGEST_HOLD_MS } from './constants.js'
+
+/** What the other routers of the fleet use, silent ones included. */
+export interface FleetUsage {
+  peers(use: (digest: Digest) => number): PeerUsage[]
+}
+
+/** What a fleet's usage is made of. */
+export interface FleetUsageOptions {
+  readonly router: string
+  readonly membership: () => Membership
+  readonly vms: () => readonly VmEntry[]
+  readonly now: () => number
+}
+
+interface Heard {
+  readonly digest: Digest
+  readonly atMs: number
+}
+
+/** Remembers each peer's last digest after the peer fell silent. */
+export function createFleetUsage(options: FleetUsageOptions): FleetUsage {
+  const { router, membership, vms, now } = options
+  const heard = new Map<string, Heard>()
+
+  function listen(): void {
+    for (const { id, heartbeat, ageMs } of membership().livePeers())
+      heard.set(id, { digest: heartbeat.digest, atMs: now() - ageMs })
+  }
+
+  function listed(): Set<string> {
+    const routers = new Set<string>()
+    for (const vm of vms())
+      if (vm.role === VmRole.Router && vm.id !== router) routers.add(vm.id)
+    return routers
+  }
+
+  function usageOf(id: string, use: (digest: Digest) => number): PeerUsage {
+    const last = heard.get(id)
+    if (!last) return { router: id, used: 0, ageMs: Infinity }
+    return { router: id, used: use(last.digest), ageMs: now() - last.atMs }
+  }
+
+  return {
+    peers(use) {
+      listen()
+      const routers = listed()
+      const peers = [...routers].map((id) => usageOf(id, use))
+      for (const [id, { atMs }] of heard) {
+        if (now() - atMs > DIGEST_HOLD_MS) heard.delete(id)
+        else if (!routers.has(id)) {
+          // A router off the list counts only for what it may still run.
+          const peer = usageOf(id, use)
+          if (peer.used > 0) peers.push(peer)
+        }
+      }
+      return peers
+    },
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/node/limits/createServiceConcurrency.ts
@@ -0,0 +1,53 @@
+import { type Configuration, fleetAllowance, fleetShare } from '@auburnbay/core'
+import type { ResolvedSettings } from '../settings/settingsSchema.js'
+import { DIGEST_HOLD_MS } from './constants.js'
+import type { FleetUsage } from './createFleetUsage.js'
+
+/** What the concurrency of services is worked out from. */
+export interface ServiceConcurrencyOptions {
+  readonly router: string
+  /** Milliseconds after which a digest is no longer trusted. */
+  readonly staleMs: number
+  readonly settings: ResolvedSettings['queue']
+  readonly configuration: () => Configuration
+  readonly eligible: (targetId: string) => boolean
+  readonly usage: FleetUsage
+}
+
+/**
+ * Returns how many requests of a service this router may have in flight: its
+ * share of what the service's targets take, or what its peers leave of it.
+ */
+export function createServiceConcurrency(
+  options: ServiceConcurrencyOptions,
+): (service: string) => number {
+  const { router, staleMs, settings, configuration, usage } = options
+
+  return (service) => {
+    const ids: string[] = []
+    let limit = 0
+    for (const [id, target] of Object.entries(configuration().targets)) {
+      if (target.service !== service) continue
+      ids.push(id)
+      if (options.eligible(id)) limit += target.maxInFlight ?? Infinity
+    }
+    if (!Number.isFinite(limit)) return settings.maxInFlight
+    const peers = usage.peers((digest) => {
+      let used = 0
+      for (const id of ids) used += digest.targets[id] ?? 0
+      return used
+    })
+    const routers = [router, ...peers.map((peer) => peer.router)]
+    const left = fleetAllowance({
+      limit,
+      key: service,
+      router,
+      peers,
+      staleMs,
+      holdMs: DIGEST_HOLD_MS,
+    })
+    // Its share is a router's own even while busier peers borrow it.
+    const share = fleetShare(limit, service, router, routers)
+    return Math.min(settings.maxInFlight, Math.max(1, share, left))
+  }
+}
--- a/packages/daemon/src/node/peers/heartbeat.ts
+++ b/packages/daemon/src/node/peers/heartbeat.ts
@@ -4,8 +4,10 @@
 export const digestSchema = z.strictObject({
   /** Requests in flight from this router, by target. */
   targets: z.record(z.string(), z.int().min(0)),
-  /** Requests in flight from this router, by customer. */
+  /** Requests waiting or in flight in this router, by customer. */
   customers: z.record(z.string(), z.int().min(0)),
+  /** Requests started within the window of the customer's rate. */
+  started: z.record(z.string(), z.int().min(0)).optional(),
 })
 
 /** The in-flight counts of one router. */
--- a/packages/daemon/src/node/settings/settingsSchema.ts
+++ b/packages/daemon/src/node/settings/settingsSchema.ts
@@ -74,10 +74,14 @@
     .prefault({}),
   queue: z
     .strictObject({
-      /** Requests this router has in flight at most. @default 256 */
+      /** Requests of one service in flight from this router. @default 256 */
       maxInFlight: z.int().positive().default(256),
-      /** Requests that wait at most. @default 1024 */
+      /** Requests of one service that wait at most. @default 1024 */
       maxWaiting: z.int().positive().default(1_024),
+      /** Milliseconds of waiting that improve a rank by one. @default 10000 */
+      ageingMs: positiveMs.default(10_000),
+      /** Longest wait of a request without a deadline, in ms. @default 10000 */
+      maxWaitMs: positiveMs.default(10_000),
     })
     .prefault({}),
   peers: z
