Give up on slow callers within their time limit

Cause: Node checks for slow requests every 30 s unless told otherwise, so the limits of the settings (5 s and 30 s by default) were kept up to 30 s late. Excluded: the limits themselves, which reach the server unchanged.

--- a/packages/daemon/src/node/callers/createCallerServer.ts
+++ b/packages/daemon/src/node/callers/createCallerServer.ts
@@ -13,6 +13,7 @@
   sendJson,
 } from '@auburnbay/http-utils'
 import type { ConsolaInstance } from 'consola'
+import { SLOW_CALLER_CHECK_MS } from '../constants.js'
 import type { Metrics } from '../metrics/metrics.js'
 import type { ResolvedSettings } from '../settings/settingsSchema.js'
 import { Hop, type HopSpan, type Tracing } from '../tracing/createTracing.js'
@@ -137,6 +138,7 @@
       maxHeaderSize: settings.callers.maxHeaderBytes,
       headersTimeout: settings.callers.headersTimeoutMs,
       requestTimeout: settings.callers.requestTimeoutMs,
+      connectionsCheckingInterval: SLOW_CALLER_CHECK_MS,
     },
     (req, res) => {
       void serve(req, res)
--- a/packages/daemon/src/node/constants.ts
+++ b/packages/daemon/src/node/constants.ts
@@ -18,3 +18,5 @@
 export const SERVICE_PATH_PREFIX = '/v1/services/'
 /** Path of chat completions. */
 export const CHAT_PATH = '/v1/chat/completions'
+/** Milliseconds between checks for callers that send too slowly. */
+export const SLOW_CALLER_CHECK_MS = 250
