Take the single attempt out of the dispatcher

Cause: the dispatcher held queueing, placement, sending and retries in one file. Change: createAttempt places and sends once; the place is now held until the answer has been passed on, not until the first connection closes, so that a stream that moves to another connection keeps counting as load. Conclusion: no change of behaviour for answers on one connection.

--- /dev/null
+++ b/packages/daemon/src/node/callers/createAttempt.ts
@@ -0,0 +1,57 @@
+import type { Context } from '@opentelemetry/api'
+import type { RequestFailure } from '@auburnbay/core'
+import { err, ok, type Result } from 'neverthrow'
+import type { Placement, Routing } from '../routing/routing.js'
+import type { TargetClient } from '../targets/targetClient.js'
+import type { TargetReply } from '../targets/targetReply.js'
+import { Hop, type Tracing } from '../tracing/createTracing.js'
+import type { RoutedRequest } from './routedRequest.js'
+
+/** An answered attempt: the place it holds and the answer's head. */
+export interface Attempt {
+  readonly placement: Placement
+  readonly reply: TargetReply
+}
+
+/** Places a request on a target and sends it there once. */
+export type AttemptOnce = (
+  request: RoutedRequest,
+  /** Targets not to choose; the one chosen is added. */
+  exclude: Set<string>,
+  parent: Context,
+) => Promise<Result<Attempt, RequestFailure>>
+
+/** What one attempt works with. */
+export interface AttemptOptions {
+  readonly routing: Routing
+  readonly targets: TargetClient
+  readonly tracing: Tracing
+}
+
+/** Creates the step that places and sends a request once. */
+export function createAttempt(options: AttemptOptions): AttemptOnce {
+  const { routing, targets, tracing } = options
+
+  return async (request, exclude, parent) => {
+    const deciding = tracing.start(Hop.Decide, parent)
+    const placed = await routing.place(request, exclude)
+    deciding.end(placed.isErr() ? placed.error.message : undefined)
+    if (placed.isErr()) return err(placed.error)
+    const placement = placed.value
+    exclude.add(placement.target.id)
+    const sending = tracing.start(Hop.Target, parent, {
+      target: placement.target.id,
+    })
+    const headers = tracing.inject(sending.context)
+    const sent = await targets.send(placement.target, request, headers)
+    if (sent.isErr()) {
+      placement.release()
+      sending.end(sent.error.message)
+      return err(sent.error)
+    }
+    sent.value.body.once('close', () => {
+      sending.end()
+    })
+    return ok({ placement, reply: sent.value })
+  }
+}
--- a/packages/daemon/src/node/callers/createDispatcher.ts
+++ b/packages/daemon/src/node/callers/createDispatcher.ts
@@ -4,10 +4,10 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { Admission } from '../admission/admission.js'
 import type { Metrics } from '../metrics/metrics.js'
-import type { Placement, Routing } from '../routing/routing.js'
+import type { Routing } from '../routing/routing.js'
 import type { TargetClient } from '../targets/targetClient.js'
-import type { TargetReply } from '../targets/targetReply.js'
 import { Hop, type Tracing } from '../tracing/createTracing.js'
+import { type Attempt, createAttempt } from './createAttempt.js'
 import { relayReply } from './relayReply.js'
 import type { RoutedRequest } from './routedRequest.js'
 
@@ -30,11 +30,6 @@
   ): Promise<Result<void, RequestFailure>>
 }
 
-interface Attempt {
-  readonly placement: Placement
-  readonly reply: TargetReply
-}
-
 const MAX_TRIES = 3
 
 function mayRetry(request: RoutedRequest, failure: RequestFailure): boolean {
@@ -45,35 +40,8 @@
 
 /** Creates the path from the queue to the target and back. */
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
-  const { admission, routing, targets, tracing, metrics } = options
-
-  async function tryOnce(
-    request: RoutedRequest,
-    exclude: Set<string>,
-    parent: Context,
-  ): Promise<Result<Attempt, RequestFailure>> {
-    const deciding = tracing.start(Hop.Decide, parent)
-    const placed = await routing.place(request, exclude)
-    deciding.end(placed.isErr() ? placed.error.message : undefined)
-    if (placed.isErr()) return err(placed.error)
-    const placement = placed.value
-    exclude.add(placement.target.id)
-    const sending = tracing.start(Hop.Target, parent, {
-      target: placement.target.id,
-    })
-    const headers = tracing.inject(sending.context)
-    const sent = await targets.send(placement.target, request, headers)
-    if (sent.isErr()) {
-      placement.release()
-      sending.end(sent.error.message)
-      return err(sent.error)
-    }
-    sent.value.body.once('close', () => {
-      placement.release()
-      sending.end()
-    })
-    return ok({ placement, reply: sent.value })
-  }
+  const { admission, tracing, metrics } = options
+  const tryOnce = createAttempt(options)
 
   async function attempt(
     request: RoutedRequest,
@@ -104,7 +72,11 @@
         const result = await attempt(request, parent)
         if (result.isErr()) return err(result.error)
         const { placement, reply } = result.value
-        await relayReply(res, placement, reply)
+        try {
+          await relayReply(res, placement, reply)
+        } finally {
+          placement.release()
+        }
         return ok(undefined)
       } finally {
         admitted.value.release()
