Let routing explain where a chat would go

Operators need to see why a request went to its target. Routing now answers with the candidates in order, their load and bound, the source of a hint and the choice, and places nothing. The administration API can build on it.

Excluded: returning the internal table of targets, which changes with the way of choosing.

--- a/packages/daemon/src/node/routing/createRouting.ts
+++ b/packages/daemon/src/node/routing/createRouting.ts
@@ -5,12 +5,14 @@
   loadBound,
   type LoadedTarget,
   MemberState,
+  rendezvousOrder,
   type VmEntry,
 } from '@auburnbay/core'
 import { err, ok } from 'neverthrow'
 import { createFailure } from '../callers/createFailure.js'
 import type { LoadReporter } from '../targets/createLoadReporter.js'
 import type { Placement, Routing, TargetStatus } from './routing.js'
+import { HintSource } from './routingExplanation.js'
 
 /** What the choice of targets works with. */
 export interface RoutingOptions {
@@ -80,8 +82,24 @@
     })
   }
 
+  function explain(service: string, customer: string, chat: string) {
+    const targets = targetsOf(service)
+    const factor = options.configuration().services[service]?.maxLoadFactor ?? 1
+    const bound = loadBound(targets, factor)
+    const candidates = rendezvousOrder(chat, targets).map(({ id, load }) => ({
+      id,
+      load,
+      bound,
+      eligible: true,
+    }))
+    const chosen = candidates.find(({ load }) => load + 1 <= bound)?.id
+    const hintSource = HintSource.None
+    return { service, customer, chat, hintSource, candidates, chosen }
+  }
+
   return {
     status,
+    explain,
     ownInFlight: () => Object.fromEntries(ownInFlight),
     place(request, exclude) {
       const targets = targetsOf(request.service).filter(
--- a/packages/daemon/src/node/routing/routing.ts
+++ b/packages/daemon/src/node/routing/routing.ts
@@ -2,6 +2,7 @@
 import type { Result } from 'neverthrow'
 import type { RoutedRequest } from '../callers/routedRequest.js'
 import type { TargetAddress } from '../targets/targetClient.js'
+import type { RoutingExplanation } from './routingExplanation.js'
 
 /** A request's place on a target; counts as load until it is released. */
 export interface Placement {
@@ -30,6 +31,8 @@
     exclude: ReadonlySet<string>,
   ): Promise<Result<Placement, RequestFailure>>
   status(): TargetStatus[]
+  /** Says where the chat's next request would go and why; places nothing. */
+  explain(service: string, customer: string, chat: string): RoutingExplanation
   /** Requests in flight from this router, by target. */
   ownInFlight(): Record<string, number>
 }
