Assemble fleet-wide admission in one place

Cause: the daemon's start grew by four constructions that belong together. Change: createFleetAdmission builds usage, limits, concurrency and queues; waiting for a place passes the other functions of routing through.

--- a/packages/daemon/src/node/admission/__tests__/createWaitingRouting.test.ts
+++ b/packages/daemon/src/node/admission/__tests__/createWaitingRouting.test.ts
@@ -51,9 +51,7 @@
       seen.released += 1
     },
   }
-  const routing: Routing = {
-    status: () => [],
-    ownInFlight: () => ({}),
+  const routing: Pick<Routing, 'place'> = {
     place: () => {
       seen.tries += 1
       const full = createFailure(FailureCode.NoTarget, 'full')
@@ -69,7 +67,7 @@
     },
   }
   const waiting = createWaitingRouting({
-    routing,
+    routing: routing as Routing,
     admission: admission as Admission,
     configuration: () => cfg,
     maxWaitMs: 10_000,
--- a/packages/daemon/src/node/admission/createWaitingRouting.ts
+++ b/packages/daemon/src/node/admission/createWaitingRouting.ts
@@ -80,8 +80,7 @@
   }
 
   return {
-    status: () => routing.status(),
-    ownInFlight: () => routing.ownInFlight(),
+    ...routing,
     async place(request, exclude) {
       const placed = await routing.place(request, exclude)
       if (placed.isOk()) return ok(placed.value)
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -4,15 +4,11 @@
 import type { ListenAddress } from '@auburnbay/http-utils'
 import { createAdminServer } from './admin/createAdminServer.js'
 import type { Admission } from './admission/admission.js'
-import { createAdmission } from './admission/createAdmission.js'
+import { createFleetAdmission } from './admission/createFleetAdmission.js'
 import { createWaitingRouting } from './admission/createWaitingRouting.js'
 import { createCallerServer } from './callers/createCallerServer.js'
 import { createDispatcher } from './callers/createDispatcher.js'
 import { createConfigurationTailer } from './configuration/createConfigurationTailer.js'
-import { STALE_HEARTBEATS } from './limits/constants.js'
-import { createCustomerLimits } from './limits/createCustomerLimits.js'
-import { createFleetUsage } from './limits/createFleetUsage.js'
-import { createServiceConcurrency } from './limits/createServiceConcurrency.js'
 import { createLogClient } from './logService/createLogClient.js'
 import { createLogs } from './logging/createLogs.js'
 import { createMembership } from './membership/createMembership.js'
@@ -72,31 +68,12 @@
     now,
   )
   const routing = createRouting({ configuration, vms, reporter })
-  const staleMs = settings.peers.heartbeatMs * STALE_HEARTBEATS
-  const usage = createFleetUsage({
-    router: settings.router.id,
-    membership: () => membership,
-    vms,
-    now,
-  })
-  const limited = {
-    router: settings.router.id,
-    staleMs,
+  const admission = createFleetAdmission({
+    settings,
     configuration,
-    usage,
-    metrics,
-    now,
-  }
-  const concurrency = createServiceConcurrency({
-    ...limited,
-    settings: settings.queue,
+    vms,
+    membership: () => membership,
     eligible: () => true,
-  })
-  const admission = createAdmission({
-    settings: settings.queue,
-    configuration,
-    limits: createCustomerLimits(limited),
-    concurrency,
     metrics,
     now,
     epochNow: Date.now,
--- a/packages/daemon/src/node/limits/createFleetUsage.ts
+++ b/packages/daemon/src/node/limits/createFleetUsage.ts
@@ -11,7 +11,7 @@
 /** What a fleet's usage is made of. */
 export interface FleetUsageOptions {
   readonly router: string
-  readonly membership: () => Membership
+  readonly membership: () => Pick<Membership, 'livePeers'>
   readonly vms: () => readonly VmEntry[]
   readonly now: () => number
 }
