Judge targets by the requests that went there

Cause: a failed target kept its place in every chat's order; each of its chats paid for the failure again. Change: per service, ejection after failures in a row or a success rate far below the median of its peers; a hold-down that doubles; at most a set share of a service's targets ejected; one idempotent request probes a target after its hold-down. Answers to requests from before the ejection say nothing of a recovery. Excluded: standard deviations of success rates (with 3 to 13 targets one bad target moves mean and deviation itself); active probes (their traffic grows with routers x targets).

--- /dev/null
+++ b/packages/core/src/node/health/__tests__/createServiceHealth.test.ts
@@ -0,0 +1,153 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import { createServiceHealth, HealthChange } from '../createServiceHealth.js'
+import { TargetOutcome } from '../targetOutcome.js'
+import { CircuitState } from '../targetState.js'
+
+const OPTIONS = {
+  consecutiveFailures: 3,
+  rateOutcomes: 10,
+  maxRateGap: 0.3,
+  baseHoldMs: 100,
+  maxHoldMs: 1_000,
+  maxEjectedShare: 0.5,
+}
+const TARGETS = ['a', 'b', 'c', 'd']
+const { Success, Failure, Unknown } = TargetOutcome
+
+function setUp(targets = TARGETS) {
+  const health = createServiceHealth(OPTIONS)
+  health.setTargets(targets)
+  const fail = (target: string, nowMs: number, times = 3) => {
+    let change = HealthChange.None
+    for (let index = 0; index < times; index += 1)
+      change = health.record(target, Failure, nowMs)
+    return change
+  }
+  return { health, fail }
+}
+
+describe('createServiceHealth', () => {
+  it('ejects after failures in a row, not after a success between', () => {
+    const { health, fail } = setUp()
+    fail('a', 0, 2)
+    health.record('a', Success, 0)
+    fail('a', 0, 2)
+    assert.ok(health.isEligible('a', true, 0))
+    assert.equal(fail('a', 0, 1), HealthChange.Ejected)
+    assert.ok(!health.isEligible('a', true, 99))
+  })
+
+  it('probes with one idempotent request and recovers', () => {
+    const { health, fail } = setUp()
+    fail('a', 0)
+    assert.ok(!health.isEligible('a', false, 100))
+    assert.ok(health.isEligible('a', true, 100))
+    assert.ok(health.started('a', 100))
+    assert.ok(!health.isEligible('a', true, 101))
+    assert.ok(!health.started('a', 101))
+    assert.equal(health.record('a', Success, 110, true), HealthChange.Recovered)
+    assert.ok(health.isEligible('a', false, 110))
+  })
+
+  it('asks again when the probe told nothing', () => {
+    const { health, fail } = setUp()
+    fail('a', 0)
+    health.started('a', 100)
+    health.record('a', Unknown, 120, true)
+    assert.ok(health.isEligible('a', true, 120))
+  })
+
+  it('is not closed by the answer to a request from before the ejection', () => {
+    const { health, fail } = setUp()
+    fail('a', 0)
+    health.started('a', 140)
+    assert.equal(health.record('a', Success, 150), HealthChange.None)
+    assert.equal(health.circuit('a', 150), CircuitState.HalfOpen)
+  })
+
+  it('doubles the hold-down up to its limit, and forgets after long health', () => {
+    const { health, fail } = setUp()
+    const holds: number[] = []
+    let nowMs = 0
+    fail('a', nowMs)
+    for (let round = 0; round < 6; round += 1) {
+      const from = nowMs
+      while (health.circuit('a', nowMs) === CircuitState.Open) nowMs += 10
+      holds.push(nowMs - from)
+      health.started('a', nowMs)
+      health.record('a', Failure, nowMs, true)
+    }
+    assert.deepEqual(holds, [100, 200, 400, 800, 1_000, 1_000])
+    nowMs += 1_000
+    health.started('a', nowMs)
+    health.record('a', Success, nowMs, true)
+    fail('a', nowMs + 1_001)
+    assert.equal(health.circuit('a', nowMs + 1_100), CircuitState.Open)
+    assert.equal(health.circuit('a', nowMs + 1_101), CircuitState.HalfOpen)
+  })
+
+  it('ejects a target that fails far more often than its peers', () => {
+    const { health } = setUp()
+    let ejectedAt = -1
+    for (let index = 0; index < 60 && ejectedAt < 0; index += 1) {
+      for (const target of ['b', 'c', 'd'])
+        health.record(target, Success, index)
+      const outcome = index % 2 === 0 ? Failure : Success
+      if (health.record('a', outcome, index) === HealthChange.Ejected)
+        ejectedAt = index
+    }
+    assert.ok(ejectedAt >= OPTIONS.rateOutcomes - 1)
+    assert.ok(health.isEligible('b', true, 60))
+  })
+
+  it('keeps targets that fail together, beyond the share', () => {
+    const { fail } = setUp()
+    const changes = TARGETS.map((target) => fail(target, 0))
+    const ejected = changes.filter((change) => change === HealthChange.Ejected)
+    assert.equal(ejected.length, 2)
+    const single = setUp(['only'])
+    assert.equal(single.fail('only', 0, 20), HealthChange.None)
+  })
+
+  it('never ejects more than the share, whatever happens', () => {
+    const event = fc.record({
+      target: fc.constantFrom(...TARGETS, 'stranger'),
+      outcome: fc.constantFrom(Failure, Failure, Success, Unknown),
+      pauseMs: fc.nat(60),
+      idempotent: fc.boolean(),
+    })
+    const property = fc.property(
+      fc.array(event, { maxLength: 200 }),
+      (events) => {
+        const { health } = setUp()
+        let nowMs = 0
+        for (const { target, outcome, pauseMs, idempotent } of events) {
+          nowMs += pauseMs
+          let probing = false
+          if (health.isEligible(target, idempotent, nowMs)) {
+            const half = health.circuit(target, nowMs) === CircuitState.HalfOpen
+            assert.ok(!half || idempotent)
+            probing = health.started(target, nowMs)
+            assert.ok(!half || !health.isEligible(target, true, nowMs))
+          }
+          health.record(target, outcome, nowMs, probing)
+          const ejected = TARGETS.filter(
+            (id) => health.circuit(id, nowMs) !== CircuitState.Closed,
+          )
+          assert.ok(ejected.length <= OPTIONS.maxEjectedShare * TARGETS.length)
+        }
+      },
+    )
+    fc.assert(property, { seed: 61, numRuns: 300 })
+  })
+
+  it('forgets targets that are gone', () => {
+    const { health, fail } = setUp()
+    fail('a', 0)
+    health.setTargets(['b', 'c'])
+    health.setTargets(TARGETS)
+    assert.ok(health.isEligible('a', false, 0))
+  })
+})
