Eject failing targets and hold retries to a budget in the daemon

Cause: retries were bounded per request only, so a service that is half down got up to three times its load; a failing target was never left out. Change: a watched target client records outcomes; routing leaves out targets that are not eligible; retries come out of a budget per service and only where another target can mend the failure.

--- a/packages/daemon/src/node/callers/createDispatcher.ts
+++ b/packages/daemon/src/node/callers/createDispatcher.ts
@@ -3,7 +3,7 @@
 import { type RequestFailure, Verdict } from '@auburnbay/core'
 import { err, ok, type Result } from 'neverthrow'
 import type { Admission } from '../admission/admission.js'
-import type { Metrics } from '../metrics/metrics.js'
+import type { Retries } from '../limits/createRetries.js'
 import type { Routing } from '../routing/routing.js'
 import type { TargetClient } from '../targets/targetClient.js'
 import { Hop, type Tracing } from '../tracing/createTracing.js'
@@ -17,7 +17,7 @@
   readonly routing: Routing
   readonly targets: TargetClient
   readonly tracing: Tracing
-  readonly metrics: Metrics
+  readonly retries: Retries
 }
 
 /** Takes checked requests to targets and their answers back. */
@@ -32,15 +32,9 @@
 
 const MAX_TRIES = 3
 
-function mayRetry(request: RoutedRequest, failure: RequestFailure): boolean {
-  if (request.signal.aborted) return false
-  if (failure.verdict === Verdict.NotRun) return true
-  return failure.verdict === Verdict.MayHaveRun && request.idempotent
-}
-
 /** Creates the path from the queue to the target and back. */
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
-  const { admission, tracing, metrics } = options
+  const { admission, tracing, retries } = options
   const tryOnce = createAttempt(options)
 
   async function attempt(
@@ -49,14 +43,12 @@
   ): Promise<Result<Attempt, RequestFailure>> {
     const exclude = new Set<string>()
     let mayHaveRun = false
+    retries.firstTry(request)
     for (let tries = 1; ; tries += 1) {
       const result = await tryOnce(request, exclude, parent)
       if (result.isOk()) return result
       mayHaveRun ||= result.error.verdict !== Verdict.NotRun
-      if (tries < MAX_TRIES && mayRetry(request, result.error)) {
-        metrics.count('retries', 1, { service: request.service })
-        continue
-      }
+      if (tries < MAX_TRIES && retries.take(request, result.error)) continue
       const verdict = mayHaveRun ? Verdict.MayHaveRun : result.error.verdict
       return err({ ...result.error, verdict })
     }
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -9,6 +9,9 @@
 import { createCallerServer } from './callers/createCallerServer.js'
 import { createDispatcher } from './callers/createDispatcher.js'
 import { createConfigurationTailer } from './configuration/createConfigurationTailer.js'
+import { createTargetHealth } from './health/createTargetHealth.js'
+import { createWatchedTargets } from './health/createWatchedTargets.js'
+import { createRetries } from './limits/createRetries.js'
 import { createLogClient } from './logService/createLogClient.js'
 import { createLogs } from './logging/createLogs.js'
 import { createMembership } from './membership/createMembership.js'
@@ -67,13 +70,22 @@
     settings.targets.reportMs,
     now,
   )
-  const routing = createRouting({ configuration, vms, reporter })
+  const health = createTargetHealth({
+    settings: settings.health,
+    configuration,
+    metrics,
+    logger: logs.part('health'),
+    now,
+  })
+  const eligible = (targetId: string, idempotent: boolean) =>
+    health.eligible(targetId, idempotent)
+  const routing = createRouting({ configuration, vms, reporter, eligible })
   const admission = createFleetAdmission({
     settings,
     configuration,
     vms,
     membership: () => membership,
-    eligible: () => true,
+    eligible: (targetId) => eligible(targetId, true),
     metrics,
     now,
     epochNow: Date.now,
@@ -106,7 +118,10 @@
     },
   })
 
-  const targets = createTargetClient(settings.targets)
+  const targets = createWatchedTargets(
+    createTargetClient(settings.targets),
+    health,
+  )
   const dispatcher = createDispatcher({
     admission,
     routing: createWaitingRouting({
@@ -118,7 +133,7 @@
     }),
     targets,
     tracing,
-    metrics,
+    retries: createRetries(settings.retries, metrics, Date.now),
   })
   const callers = await createCallerServer({
     settings,
--- a/packages/daemon/src/node/routing/createRouting.ts
+++ b/packages/daemon/src/node/routing/createRouting.ts
@@ -19,6 +19,8 @@
   readonly configuration: () => Configuration
   readonly vms: () => readonly VmEntry[]
   readonly reporter: LoadReporter
+  /** Whether a target's health lets a request go there. */
+  readonly eligible: (targetId: string, idempotent: boolean) => boolean
 }
 
 interface RoutedTarget extends LoadedTarget {
@@ -90,9 +92,11 @@
       id,
       load,
       bound,
-      eligible: true,
+      eligible: options.eligible(id, false),
     }))
-    const chosen = candidates.find(({ load }) => load + 1 <= bound)?.id
+    const chosen = candidates.find(
+      ({ load, eligible }) => eligible && load + 1 <= bound,
+    )?.id
     const hintSource = HintSource.None
     return { service, customer, chat, hintSource, candidates, chosen }
   }
@@ -103,7 +107,8 @@
     ownInFlight: () => Object.fromEntries(ownInFlight),
     place(request, exclude) {
       const targets = targetsOf(request.service).filter(
-        (target) => !exclude.has(target.id),
+        ({ id }) =>
+          !exclude.has(id) && options.eligible(id, request.idempotent),
       )
       const key = request.chat === '' ? request.id : request.chat
       const factor =
--- a/packages/daemon/src/node/settings/settingsSchema.ts
+++ b/packages/daemon/src/node/settings/settingsSchema.ts
@@ -84,6 +84,32 @@
       maxWaitMs: positiveMs.default(10_000),
     })
     .prefault({}),
+  retries: z
+    .strictObject({
+      /** Retries for each first try of a service. @default 0.2 */
+      ratio: z.number().min(0).max(1).default(0.2),
+      /** Retries that a service saves up at most. @default 20 */
+      burst: z.int().min(1).default(20),
+      /** Retries before first tries have earned any. @default 10 */
+      reserve: z.int().min(0).default(10),
+    })
+    .prefault({}),
+  health: z
+    .strictObject({
+      /** Failures in a row that eject a target. @default 3 */
+      consecutiveFailures: z.int().positive().default(3),
+      /** Outcomes that a success rate is taken over. @default 20 */
+      rateOutcomes: z.int().positive().default(20),
+      /** Gap to the median success rate that ejects. @default 0.3 */
+      maxRateGap: z.number().positive().max(1).default(0.3),
+      /** First hold-down in ms; each further one doubles it. @default 1000 */
+      baseHoldMs: positiveMs.default(1_000),
+      /** Longest hold-down, in milliseconds. @default 60000 */
+      maxHoldMs: positiveMs.default(60_000),
+      /** Share of a service's targets ejected at once. @default 0.5 */
+      maxEjectedShare: z.number().min(0).max(1).default(0.5),
+    })
+    .prefault({}),
   peers: z
     .strictObject({
       /** @default 500 */
