--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -3,7 +3,9 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { ListenAddress } from '@auburnbay/http-utils'
 import { createAdminServer } from './admin/createAdminServer.js'
-import { createAdmission } from './admission/createAdmission.js'
+import type { Admission } from './admission/admission.js'
+import { createFleetAdmission } from './admission/createFleetAdmission.js'
+import { createWaitingRouting } from './admission/createWaitingRouting.js'
 import { createCallerServer } from './callers/createCallerServer.js'
 import { createDispatcher } from './callers/createDispatcher.js'
 import { createConfigurationTailer } from './configuration/createConfigurationTailer.js'
@@ -31,6 +33,8 @@
 /** A running router. */
 export interface Daemon {
   readonly addresses: DaemonAddresses
+  /** Requests that run and that wait. */
+  readonly load: Pick<Admission, 'running' | 'waiting'>
   /** Stops gracefully: no request in flight is cut off. */
   stop(): Promise<void>
 }
@@ -64,7 +68,16 @@
     now,
   )
   const routing = createRouting({ configuration, vms, reporter })
-  const admission = createAdmission(settings.queue)
+  const admission = createFleetAdmission({
+    settings,
+    configuration,
+    vms,
+    membership: () => membership,
+    eligible: () => true,
+    metrics,
+    now,
+    epochNow: Date.now,
+  })
 
   const self = (): Heartbeat => ({
     router: settings.router.id,
@@ -74,7 +87,8 @@
     stopping,
     digest: {
       targets: routing.ownInFlight(),
-      customers: admission.runningByCustomer(),
+      customers: admission.inFlightByCustomer(),
+      started: admission.startedByCustomer(),
     },
   })
   const peerClient = createPeerClient(settings.secrets.peer)
@@ -95,7 +109,13 @@
   const targets = createTargetClient(settings.targets)
   const dispatcher = createDispatcher({
     admission,
-    routing,
+    routing: createWaitingRouting({
+      routing,
+      admission,
+      configuration,
+      maxWaitMs: settings.queue.maxWaitMs,
+      epochNow: Date.now,
+    }),
     targets,
     tracing,
     metrics,
@@ -141,6 +161,7 @@
       reporter.stop(),
       vmList.stop(),
       membership.stop(),
+      admission.stop(),
       tailer.stop(),
       peerServer.stop(),
     ])
@@ -151,5 +172,5 @@
     logger.info('Stopped.')
   }
 
-  return { addresses, stop }
+  return { addresses, load: admission, stop }
 }
