Count recent service as share and bound queues by time

Change: a customer's share is its service of late, forgotten with a half-life; the customer that claims most is shed first. A queue holds what the places work off within drainMs, by the mean run time of late.

--- a/packages/core/src/node/admission/__tests__/naiveQueue.ts
+++ b/packages/core/src/node/admission/__tests__/naiveQueue.ts
@@ -1,52 +1,53 @@
 import type { WaitingRequest } from '../waitingRequest.js'
 
-/** Keeps whole history and sorts everything at each step. */
+interface Served {
+  readonly customer: string
+  readonly atMs: number
+}
+
+/** Keeps the whole history and sorts everything at each step. */
 export class NaiveQueue {
   private waiting: WaitingRequest[] = []
-  private readonly virtual = new Map<string, number>()
-  private floor = 0
+  private readonly served: Served[] = []
 
   constructor(
     private readonly capacity: number,
     private readonly ageingMs: number,
+    private readonly halfLifeMs: number,
   ) {}
 
-  private has(customer: string): boolean {
-    return this.waiting.some((request) => request.customer === customer)
+  private service(customer: string, nowMs: number): number {
+    let total = 0
+    for (const past of this.served)
+      if (past.customer === customer)
+        total += 0.5 ** ((nowMs - past.atMs) / this.halfLifeMs)
+    return total
   }
 
-  private share(customer: string): number {
-    return this.virtual.get(customer) ?? 0
+  private share(request: WaitingRequest, nowMs: number): number {
+    return this.service(request.customer, nowMs) / request.weight
   }
 
-  private crowding(request: WaitingRequest): number {
+  private claim(request: WaitingRequest, nowMs: number): number {
     const own = this.waiting.filter((r) => r.customer === request.customer)
-    return own.length / request.weight
-  }
-
-  private dropped(request: WaitingRequest): string {
-    this.waiting = this.waiting.filter((other) => other !== request)
-    const shares = this.waiting.map((r) => this.share(r.customer))
-    if (shares.length > 0)
-      this.floor = Math.max(this.floor, Math.min(...shares))
-    return request.id
+    const service = this.service(request.customer, nowMs)
+    return (service + own.length) / request.weight
   }
 
   offer(request: WaitingRequest): string | undefined {
-    const { customer } = request
-    if (!this.has(customer))
-      this.virtual.set(customer, Math.max(this.share(customer), this.floor))
     this.waiting.push(request)
     if (this.waiting.length <= this.capacity) return undefined
+    const nowMs = request.enqueuedAtMs
     const [victim] = [...this.waiting]
       .reverse()
       .sort(
         (a, b) =>
           b.rank - a.rank ||
-          this.crowding(b) - this.crowding(a) ||
+          this.claim(b, nowMs) - this.claim(a, nowMs) ||
           b.enqueuedAtMs - a.enqueuedAtMs,
       )
-    return victim && this.dropped(victim)
+    if (victim) this.remove(victim.id)
+    return victim?.id
   }
 
   take(nowMs: number): string | undefined {
@@ -55,16 +56,16 @@
     const [next] = [...this.waiting].sort(
       (a, b) =>
         aged(a) - aged(b) ||
-        this.share(a.customer) - this.share(b.customer) ||
+        this.share(a, nowMs) - this.share(b, nowMs) ||
         a.deadlineAtMs - b.deadlineAtMs,
     )
     if (!next) return undefined
-    this.virtual.set(next.customer, this.share(next.customer) + 1 / next.weight)
-    return this.dropped(next)
+    this.served.push({ customer: next.customer, atMs: nowMs })
+    this.remove(next.id)
+    return next.id
   }
 
   remove(id: string): void {
-    const found = this.waiting.find((request) => request.id === id)
-    if (found) this.dropped(found)
+    this.waiting = this.waiting.filter((request) => request.id !== id)
   }
 }
--- /dev/null
+++ b/packages/core/src/node/admission/__tests__/queueCapacity.test.ts
@@ -0,0 +1,53 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import { createMeanRunTime } from '../createMeanRunTime.js'
+import { queueCapacity } from '../queueCapacity.js'
+import { reservedPlaces } from '../reservedPlaces.js'
+
+describe('queueCapacity', () => {
+  it('is what the places work off in the time given', () => {
+    const options = { concurrency: 100, drainMs: 2_000, maxWaiting: 1_000 }
+    assert.equal(queueCapacity({ ...options, meanRunMs: 20_000 }), 10)
+    assert.equal(queueCapacity({ ...options, meanRunMs: undefined }), 1_000)
+  })
+
+  it('stays between one and the longest queue', () => {
+    const property = fc.property(
+      fc.integer({ min: 1, max: 500 }),
+      fc.double({ min: 0, max: 1e7, noNaN: true }),
+      fc.integer({ min: 1, max: 2_000 }),
+      (concurrency, meanRunMs, maxWaiting) => {
+        const drainMs = 2_000
+        const capacity = queueCapacity({
+          concurrency,
+          meanRunMs,
+          drainMs,
+          maxWaiting,
+        })
+        assert.ok(capacity >= 1 && capacity <= maxWaiting)
+      },
+    )
+    fc.assert(property, { seed: 43 })
+  })
+})
+
+describe('createMeanRunTime', () => {
+  it('starts at the first run and follows a change', () => {
+    const time = createMeanRunTime()
+    const means = [time.meanMs]
+    time.add(100)
+    means.push(time.meanMs)
+    for (let index = 0; index < 200; index += 1) time.add(500)
+    means.push(Math.round(time.meanMs ?? 0))
+    assert.deepEqual(means, [undefined, 100, 500])
+  })
+})
+
+describe('reservedPlaces', () => {
+  it('keeps none of a few places, nor of places without limit', () => {
+    assert.equal(reservedPlaces(10, 0.03), 0)
+    assert.equal(reservedPlaces(332, 0.03), 9)
+    assert.equal(reservedPlaces(Infinity, 0.03), 0)
+  })
+})
--- a/packages/core/src/node/admission/createRequestQueue.ts
+++ b/packages/core/src/node/admission/createRequestQueue.ts
@@ -7,21 +7,23 @@
 
 /** How a queue orders and bounds its requests. */
 export interface RequestQueueOptions {
-  /** Requests that wait at most. */
-  readonly capacity: number
+  /** Requests that may wait at the moment. */
+  readonly capacity: () => number
   /** Milliseconds of waiting that improve a rank by one. */
   readonly ageingMs: number
+  /** Milliseconds in which half of a customer's past service is forgotten. */
+  readonly shareHalfLifeMs: number
 }
 
 /** A bounded queue: rank first, then weighted share, then deadline. */
 export interface RequestQueue<T extends WaitingRequest> {
   readonly size: number
-  /** Takes a request in; returns the one that is shed for it, if any. */
-  offer(request: T): T | undefined
+  /** Takes a request in; returns those that are shed to keep the capacity. */
+  offer(request: T): T[]
   /** Takes out the request that runs next. */
   take(nowMs: number): T | undefined
-  /** Takes out the next request of rank 0; ageing does not count. */
-  takeUrgent(): T | undefined
+  /** Takes out the next request of rank 0. */
+  takeUrgent(nowMs: number): T | undefined
   /** Requests of rank 0 that wait. */
   readonly urgentSize: number
   /** Takes a request out that is no longer wanted. */
@@ -37,25 +39,27 @@
   options: RequestQueueOptions,
 ): RequestQueue<T> {
   const waiting = new Map<string, T>()
-  const shares = createWeightedShares()
+  const shares = createWeightedShares(options.shareHalfLifeMs)
 
   function runsBefore(a: T, b: T, nowMs: number): boolean {
     const { ageingMs } = options
     const rank =
       effectiveRank(a, nowMs, ageingMs) - effectiveRank(b, nowMs, ageingMs)
     if (rank !== 0) return rank < 0
-    const share = shares.share(a.customer) - shares.share(b.customer)
+    const share =
+      shares.share(a.customer, a.weight, nowMs) -
+      shares.share(b.customer, b.weight, nowMs)
     if (share !== 0) return share < 0
     return a.deadlineAtMs < b.deadlineAtMs
   }
 
-  // The latest arrival of the customer that crowds the queue most goes first.
-  function isShedBefore(a: T, b: T): boolean {
+  // The latest arrival of the customer that claims most goes first.
+  function isShedBefore(a: T, b: T, nowMs: number): boolean {
     if (a.rank !== b.rank) return a.rank > b.rank
-    const crowding =
-      shares.waiting(a.customer) / a.weight -
-      shares.waiting(b.customer) / b.weight
-    if (crowding !== 0) return crowding > 0
+    const claimed =
+      shares.claimedShare(a.customer, a.weight, nowMs) -
+      shares.claimedShare(b.customer, b.weight, nowMs)
+    if (claimed !== 0) return claimed > 0
     return a.enqueuedAtMs >= b.enqueuedAtMs
   }
 
@@ -67,19 +71,30 @@
     return request
   }
 
-  function offer(request: T): T | undefined {
+  function findVictim(nowMs: number): T | undefined {
+    let victim: T | undefined
+    for (const request of waiting.values())
+      if (!victim || isShedBefore(request, victim, nowMs)) victim = request
+    return victim
+  }
+
+  function offer(request: T): T[] {
     waiting.set(request.id, request)
     shares.join(request.customer)
-    if (waiting.size <= options.capacity) return undefined
-    let victim = request
-    for (const other of waiting.values())
-      if (isShedBefore(other, victim)) victim = other
-    return remove(victim.id)
+    const shed: T[] = []
+    const capacity = options.capacity()
+    while (waiting.size > capacity) {
+      const victim = findVictim(request.enqueuedAtMs)
+      if (!victim) break
+      remove(victim.id)
+      shed.push(victim)
+    }
+    return shed
   }
 
-  function takeOut(next: T | undefined): T | undefined {
+  function takeOut(next: T | undefined, nowMs: number): T | undefined {
     if (!next) return undefined
-    shares.charge(next.customer, next.weight)
+    shares.charge(next.customer, nowMs)
     return remove(next.id)
   }
 
@@ -87,17 +102,16 @@
     let next: T | undefined
     for (const request of waiting.values())
       if (!next || runsBefore(request, next, nowMs)) next = request
-    return takeOut(next)
+    return takeOut(next, nowMs)
   }
 
-  function takeUrgent(): T | undefined {
+  function takeUrgent(nowMs: number): T | undefined {
     let next: T | undefined
     for (const request of waiting.values()) {
       if (request.rank !== URGENT_RANK) continue
-      // Without ageing, all of one rank compare by share and deadline.
-      if (!next || runsBefore(request, next, -Infinity)) next = request
+      if (!next || runsBefore(request, next, nowMs)) next = request
     }
-    return takeOut(next)
+    return takeOut(next, nowMs)
   }
 
   function countByRank(): Map<number, number> {
--- a/packages/core/src/node/admission/createWeightedShares.ts
+++ b/packages/core/src/node/admission/createWeightedShares.ts
@@ -1,56 +1,59 @@
 /**
- * Service that customers got, divided by their weights, as virtual time
- * (start-time fair queueing, Goyal et al. 1996).
+ * Service that customers got of late, divided by their weights. Service is
+ * forgotten with a half-life, so a customer within its share goes first and a
+ * customer that was away saves up no more than the recent past.
  */
 export interface WeightedShares {
-  /** Starts counting a request that waits. */
+  /** Counts a request that waits. */
   join(customer: string): void
-  /** Stops counting a request that no longer waits. */
+  /** Counts a request that no longer waits out. */
   leave(customer: string): void
-  /** Charges one request to a customer that waits. */
-  charge(customer: string, weight: number): void
-  /** Virtual time of a customer; the least is served next. */
-  share(customer: string): number
-  /** Requests of a customer that wait. */
-  waiting(customer: string): number
+  /** Charges one request that starts. */
+  charge(customer: string, nowMs: number): void
+  /** Recent service by weight; the customer with the least is next. */
+  share(customer: string, weight: number, nowMs: number): number
+  /** The same if all waiting requests of the customer had been served too. */
+  claimedShare(customer: string, weight: number, nowMs: number): number
 }
 
+interface Usage {
+  service: number
+  atMs: number
+}
+
+/** Service below which a customer is forgotten. */
+const FORGOTTEN = 1e-6
+
 /** Creates shares in which every customer starts equal. */
-export function createWeightedShares(): WeightedShares {
-  const virtual = new Map<string, number>()
+export function createWeightedShares(halfLifeMs: number): WeightedShares {
+  const usages = new Map<string, Usage>()
   const waiting = new Map<string, number>()
-  let floor = 0
 
-  function share(customer: string): number {
-    return virtual.get(customer) ?? floor
-  }
-
-  function raiseFloor(): void {
-    let least = Infinity
-    for (const customer of waiting.keys())
-      least = Math.min(least, share(customer))
-    if (Number.isFinite(least)) floor = Math.max(floor, least)
+  function service(customer: string, nowMs: number): number {
+    const usage = usages.get(customer)
+    if (!usage) return 0
+    return usage.service * 2 ** ((usage.atMs - nowMs) / halfLifeMs)
   }
 
   return {
-    share,
-    waiting: (customer) => waiting.get(customer) ?? 0,
+    share: (customer, weight, nowMs) => service(customer, nowMs) / weight,
+    claimedShare(customer, weight, nowMs) {
+      const claimed = waiting.get(customer) ?? 0
+      return (service(customer, nowMs) + claimed) / weight
+    },
     join(customer) {
-      const count = waiting.get(customer) ?? 0
-      // An absent customer saves up no claim to later service.
-      if (count === 0) virtual.set(customer, Math.max(share(customer), floor))
-      waiting.set(customer, count + 1)
+      waiting.set(customer, (waiting.get(customer) ?? 0) + 1)
     },
     leave(customer) {
       const count = waiting.get(customer) ?? 0
       if (count > 1) waiting.set(customer, count - 1)
       else waiting.delete(customer)
-      raiseFloor()
-      for (const [id, value] of virtual)
-        if (!waiting.has(id) && value <= floor) virtual.delete(id)
     },
-    charge(customer, weight) {
-      virtual.set(customer, share(customer) + 1 / weight)
+    charge(customer, nowMs) {
+      const total = service(customer, nowMs) + 1
+      usages.set(customer, { service: total, atMs: nowMs })
+      for (const id of usages.keys())
+        if (service(id, nowMs) < FORGOTTEN) usages.delete(id)
     },
   }
 }
--- a/packages/daemon/src/node/admission/createRankedQueueClass.ts
+++ b/packages/daemon/src/node/admission/createRankedQueueClass.ts
@@ -40,12 +40,13 @@
     enqueue(run: RunFunction, added?: Partial<RankedOptions>): void {
       if (!added?.request) throw new TypeError('add needs a request to rank')
       const onShed = added.onShed ?? (() => undefined)
-      this.queue.offer({ ...added.request, run, onShed })?.onShed()
+      const queued = { ...added.request, run, onShed }
+      for (const shed of this.queue.offer(queued)) shed.onShed()
     }
 
     dequeue(): RunFunction | undefined {
       const next = urgentOnly()
-        ? this.queue.takeUrgent()
+        ? this.queue.takeUrgent(now())
         : this.queue.take(now())
       return next?.run
     }
--- a/packages/daemon/src/node/admission/createServiceQueue.ts
+++ b/packages/daemon/src/node/admission/createServiceQueue.ts
@@ -1,4 +1,9 @@
-import { reservedPlaces, type WaitingRequest } from '@auburnbay/core'
+import {
+  createMeanRunTime,
+  queueCapacity,
+  reservedPlaces,
+  type WaitingRequest,
+} from '@auburnbay/core'
 import { err, ok, type Result } from 'neverthrow'
 import PQueue from 'p-queue'
 import type { ResolvedSettings } from '../settings/settingsSchema.js'
@@ -40,17 +45,25 @@
   settings: ResolvedSettings['queue'],
   now: () => number,
 ): ServiceQueue {
-  const order = { capacity: settings.maxWaiting, ageingMs: settings.ageingMs }
   let waiting = 0
   let running = 0
   let concurrency = Infinity
   let holds = 0
+  const time = createMeanRunTime()
+
+  function capacity(): number {
+    const { drainMs, maxWaiting } = settings
+    const meanRunMs = time.meanMs
+    return queueCapacity({ concurrency, meanRunMs, drainMs, maxWaiting })
+  }
 
   function urgentOnly(): boolean {
     const reserved = reservedPlaces(concurrency, settings.urgentShare)
     return reserved > 0 && running >= concurrency - reserved
   }
 
+  const { ageingMs, shareHalfLifeMs } = settings
+  const order = { capacity, ageingMs, shareHalfLifeMs }
   const queueClass = createRankedQueueClass(order, now, urgentOnly)
   const queue: RankedPQueue = new PQueue({ queueClass })
 
@@ -83,9 +96,11 @@
       const run = (): Promise<void> =>
         new Promise((release) => {
           running += 1
+          const startedAtMs = now()
           settle(
             ok(() => {
               running -= 1
+              time.add(now() - startedAtMs)
               release()
             }),
           )
--- a/packages/daemon/src/node/settings/settingsSchema.ts
+++ b/packages/daemon/src/node/settings/settingsSchema.ts
@@ -78,6 +78,10 @@
       maxInFlight: z.int().positive().default(256),
       /** Requests of one service that wait at most. @default 1024 */
       maxWaiting: z.int().positive().default(1_024),
+      /** Milliseconds that halve a customer's past service. @default 10000 */
+      shareHalfLifeMs: positiveMs.default(10_000),
+      /** Longest time in ms that working off a queue may take. @default 2000 */
+      drainMs: positiveMs.default(2_000),
       /** Milliseconds of waiting that improve a rank by one. @default 10000 */
       ageingMs: positiveMs.default(10_000),
       /** Share of a service's places that only rank 0 takes. @default 0.03 */
