--- a/packages/measure/src/node/measureGroups.ts
+++ b/packages/measure/src/node/measureGroups.ts
@@ -1,5 +1,9 @@
+import { limitsMeasures } from './limits/limitsMeasures.js'
 import type { MeasureGroup } from './measureGroup.js'
 import { routingMeasures } from './routing/routingMeasures.js'
 
 /** Every group, in the order in which they run. */
-export const measureGroups: readonly MeasureGroup[] = [routingMeasures]
+export const measureGroups: readonly MeasureGroup[] = [
+  routingMeasures,
+  limitsMeasures,
+]
