Refuse a malformed patch operation instead of stopping the tailer

Cause: a JSON Patch operation such as {op: add, path: /defaultRank/x} or a path without a leading slash made rfc6902 throw inside the fold. The tailer kept its offset and read the same record again for ever, on every router: one patch could freeze the configuration of the whole fleet. Excluded: the schema of the record (it must stay loose enough that releases agree) and the tailer (the fold is what has to be total). Conclusion: the fold never throws on record content.

--- a/packages/core/src/node/configuration/__tests__/configurationState.test.ts
+++ b/packages/core/src/node/configuration/__tests__/configurationState.test.ts
@@ -50,6 +50,24 @@
     assert.equal(outcomes[0], PatchOutcomeKind.Invalid)
   })
 
+  const poisonous = [
+    { op: 'add', path: '/defaultRank/x', value: 1 },
+    { op: 'add', path: 'no-slash', value: 1 },
+    { op: 'move', path: '/customers/a' },
+    { op: 'add', path: '/__proto__/x', value: 1 },
+    { op: 'add', path: '/customers/__proto__', value: { weight: 1 } },
+    { op: 'copy', from: '/customers/constructor', path: '/customers/a' },
+  ]
+  for (const operation of poisonous) {
+    it(`refuses ${JSON.stringify(operation)} without failing`, () => {
+      const record = { ...patch('a', 0), operations: [operation] }
+      const { state, outcomes } = replay([record, patch('b', 0)])
+      assert.equal(outcomes[0], PatchOutcomeKind.Invalid)
+      assert.equal(outcomes[1], PatchOutcomeKind.Applied)
+      assert.equal(state.version, 1)
+    })
+  }
+
   it('never lowers the version, whatever the log holds', () => {
     const record = fc.oneof(
       fc.anything(),
@@ -60,6 +78,14 @@
           fc.integer({ min: -1, max: 10 }),
         )
         .map((fields) => patch(...fields)),
+      fc
+        .tuple(fc.string(), fc.anything(), fc.string())
+        .map(([path, value, from]) => ({
+          ...patch('e', 0),
+          operations: [
+            { op: 'add', path: `/defaultRank/${path}`, value, from },
+          ],
+        })),
     )
     const property = fc.property(fc.array(record), (records) => {
       let state = createConfigurationState()
--- a/packages/core/src/node/configuration/configurationState.ts
+++ b/packages/core/src/node/configuration/configurationState.ts
@@ -1,4 +1,4 @@
-import { applyPatch, type Operation } from 'rfc6902'
+import { applyOperations } from '../patches/applyOperations.js'
 import {
   type Configuration,
   configurationSchema,
@@ -42,14 +42,12 @@
     const reason = `the patch is against version ${record.baseVersion}, but version ${state.version} is in force`
     return { outcome: { ...base, kind: PatchOutcomeKind.Conflict, reason } }
   }
-  const draft: unknown = structuredClone(state.configuration)
-  const errors = applyPatch(draft, record.operations as Operation[])
-  const failed = errors.find((err) => err !== null)
-  if (failed) {
-    const reason = failed.message
+  const patched = applyOperations(state.configuration, record.operations)
+  if (patched.isErr()) {
+    const reason = patched.error
     return { outcome: { ...base, kind: PatchOutcomeKind.Invalid, reason } }
   }
-  const parsed = configurationSchema.safeParse(draft)
+  const parsed = configurationSchema.safeParse(patched.value)
   if (!parsed.success) {
     const reason = parsed.error.issues
       .map((issue) => `/${issue.path.join('/')}: ${issue.message}`)
