Let teams change only their own entries

Cause: one administration secret could change everything; several teams cannot share a fleet that way. Ways weighed: deciding on the operations' paths (a move, a copy or a replaced section hides entries) or on the difference of the two documents. The latter is used. Change: the configuration holds teams with quotas and operators with a role and a salted token. checkChange decides from the log's records alone, so the fold enforces it on every router alike; expiry needs a clock and is checked by the router that takes the request. Conclusion: authorisation holds whichever router appends the patch.

--- a/packages/core/src/node/configuration/callerKey.ts
+++ b/packages/core/src/node/configuration/callerKey.ts
@@ -1,11 +1,11 @@
-import { createHash, randomBytes, timingSafeEqual } from 'node:crypto'
+import { randomBytes } from 'node:crypto'
+import { createSaltedHash, matchesSaltedHash } from '../security/saltedHash.js'
 import type {
   CallerKeyConfiguration,
   Configuration,
 } from './configurationSchema.js'
 
 const SECRET_BYTES = 24
-const SALT_BYTES = 12
 
 /** A new caller key: `text` goes to the caller, `stored` into the configuration. */
 export interface NewCallerKey {
@@ -13,20 +13,15 @@
   readonly stored: CallerKeyConfiguration
 }
 
-function digest(salt: string, secret: string): string {
-  return createHash('sha256').update(salt).update(secret).digest('hex')
-}
-
-/** Creates a caller key whose text is `customer.keyId.secret`. */
+/** Creates a caller key whose text is `customer/keyId/secret`. */
 export function createCallerKey(
   customer: string,
   keyId: string,
   secret: string = randomBytes(SECRET_BYTES).toString('base64url'),
 ): NewCallerKey {
-  const salt = randomBytes(SALT_BYTES).toString('base64url')
   return {
     text: `${customer}/${keyId}/${secret}`,
-    stored: { salt, hash: digest(salt, secret) },
+    stored: createSaltedHash(secret),
   }
 }
 
@@ -42,10 +37,5 @@
   if (!Object.hasOwn(keys, keyId)) return undefined
   const key = keys[keyId]
   if (!key) return undefined
-  if (key.expiresAtMs !== undefined && key.expiresAtMs <= nowMs)
-    return undefined
-  const given = Buffer.from(digest(key.salt, secret), 'hex')
-  return timingSafeEqual(given, Buffer.from(key.hash, 'hex'))
-    ? customer
-    : undefined
+  return matchesSaltedHash(key, secret, nowMs) ? customer : undefined
 }
--- a/packages/core/src/node/configuration/configurationSchema.ts
+++ b/packages/core/src/node/configuration/configurationSchema.ts
@@ -1,17 +1,11 @@
 import { z } from 'zod'
 import { DEFAULT_MAX_LOAD_FACTOR, DEFAULT_RANK } from '../constants.js'
+import { saltedHashSchema } from '../security/saltedHash.js'
+import { operatorSchema, teamSchema } from '../teams/teamSchema.js'
 import { ServiceKind } from './serviceKind.js'
 
 const id = z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/)
 
-const callerKeySchema = z.strictObject({
-  salt: z.string().min(1),
-  /** SHA-256 of salt and secret, in hexadecimal. */
-  hash: z.string().regex(/^[0-9a-f]{64}$/),
-  /** Milliseconds since the epoch. */
-  expiresAtMs: z.int().positive().optional(),
-})
-
 const customerSchema = z.strictObject({
   team: id.optional(),
   /** Share of the queue relative to the other customers. */
@@ -19,7 +13,7 @@
   maxInFlight: z.int().positive().optional(),
   /** Requests a second over the whole fleet. */
   ratePerS: z.number().positive().optional(),
-  keys: z.record(id, callerKeySchema).default({}),
+  keys: z.record(id, saltedHashSchema).default({}),
 })
 
 const serviceSchema = z.strictObject({
@@ -36,6 +30,8 @@
   weight: z.number().positive().default(1),
   /** Whether the target refuses orders with an old fencing token. */
   checksFencing: z.boolean().default(false),
+  /** Whether the target gets no new requests. */
+  draining: z.boolean().optional(),
 })
 
 const ruleSchema = z.strictObject({
@@ -53,6 +49,8 @@
   targets: z.record(id, targetSchema).default({}),
   rules: z.record(id, ruleSchema).default({}),
   defaultRank: z.int().min(0).max(9).default(DEFAULT_RANK),
+  teams: z.record(id, teamSchema).default({}),
+  operators: z.record(id, operatorSchema).default({}),
 })
 
 /** The document that operators patch. */
@@ -66,4 +64,4 @@
 /** One rule that ranks requests. */
 export type RuleConfiguration = z.infer<typeof ruleSchema>
 /** One caller key, kept as a salted hash. */
-export type CallerKeyConfiguration = z.infer<typeof callerKeySchema>
+export type CallerKeyConfiguration = z.infer<typeof saltedHashSchema>
--- a/packages/core/src/node/configuration/configurationState.ts
+++ b/packages/core/src/node/configuration/configurationState.ts
@@ -1,4 +1,5 @@
 import { applyOperations } from '../patches/applyOperations.js'
+import { checkChange } from '../teams/checkChange.js'
 import {
   type Configuration,
   configurationSchema,
@@ -54,6 +55,11 @@
       .join('; ')
     return { outcome: { ...base, kind: PatchOutcomeKind.Invalid, reason } }
   }
+  const refused = checkChange(state.configuration, parsed.data, record.operator)
+  if (refused !== undefined)
+    return {
+      outcome: { ...base, kind: PatchOutcomeKind.Invalid, reason: refused },
+    }
   return {
     outcome: {
       ...base,
--- a/packages/core/src/node/configuration/patchRecord.ts
+++ b/packages/core/src/node/configuration/patchRecord.ts
@@ -13,6 +13,8 @@
   patchId: z.string().min(1).max(64),
   baseVersion: z.int().min(0),
   author: z.string().min(1).max(128),
+  /** Operator whose token was used; absent for the bootstrap owner. */
+  operator: z.string().optional(),
   /** JSON Patch (RFC 6902) operations. */
   operations: z.array(operationSchema).min(1),
 })
--- /dev/null
+++ b/packages/core/src/node/teams/authorizeChange.ts
@@ -0,0 +1,51 @@
+import type { Configuration } from '../configuration/configurationSchema.js'
+import type { Actor } from './actor.js'
+import { includesRole, Role } from './role.js'
+import { OwnerKind, ownerOfEntry } from './ownerOfEntry.js'
+import {
+  Section,
+  type TouchedEntry,
+  touchedEntries,
+  touchedFields,
+} from './touchedEntries.js'
+
+function neededRole(section: Section): Role {
+  return section === Section.Operators ? Role.Owner : Role.Editor
+}
+
+function refuseEntry(
+  before: Configuration,
+  after: Configuration,
+  actor: Actor,
+  entry: TouchedEntry,
+): string | undefined {
+  const path = `/${entry.section}/${entry.id}`
+  const needed = neededRole(entry.section)
+  if (!includesRole(actor.role, needed))
+    return `${path}: operator ${actor.id} is ${actor.role}; this change needs the role ${needed}`
+  for (const cfg of [before, after]) {
+    const owner = ownerOfEntry(cfg, entry)
+    if (owner.kind === OwnerKind.Absent) continue
+    if (owner.kind === OwnerKind.Team && owner.team === actor.team) continue
+    const whose =
+      owner.kind === OwnerKind.Team ? `team ${owner.team ?? ''}` : 'the fleet'
+    return `${path}: belongs to ${whose}; operator ${actor.id} changes entries of team ${actor.team ?? ''} alone`
+  }
+  return undefined
+}
+
+/** Returns why the actor may not make a change, or undefined when it may. */
+export function authorizeChange(
+  before: Configuration,
+  after: Configuration,
+  actor: Actor,
+): string | undefined {
+  if (actor.team === undefined) return undefined
+  for (const field of touchedFields(before, after))
+    return `/${field}: belongs to the fleet; ask the holder of the administration secret`
+  for (const entry of touchedEntries(before, after)) {
+    const refused = refuseEntry(before, after, actor, entry)
+    if (refused !== undefined) return refused
+  }
+  return undefined
+}
--- /dev/null
+++ b/packages/core/src/node/teams/checkTeams.ts
@@ -0,0 +1,80 @@
+import type { Configuration } from '../configuration/configurationSchema.js'
+
+/** What a team has of everything that a quota bounds. */
+export interface TeamUsage {
+  readonly customers: number
+  readonly services: number
+  readonly targets: number
+  /** Sum of `maxInFlight` over the team's customers. */
+  readonly inFlight: number
+  /** Customers of the team that have no `maxInFlight`. */
+  readonly unboundedCustomers: readonly string[]
+}
+
+/** Counts what a team has. */
+export function teamUsage(cfg: Configuration, team: string): TeamUsage {
+  const customers = Object.entries(cfg.customers).filter(
+    ([, customer]) => customer.team === team,
+  )
+  const services = Object.entries(cfg.services).filter(
+    ([, service]) => service.team === team,
+  )
+  const names = new Set(services.map(([id]) => id))
+  const targets = Object.values(cfg.targets).filter((target) =>
+    names.has(target.service),
+  )
+  let inFlight = 0
+  for (const [, customer] of customers) inFlight += customer.maxInFlight ?? 0
+  return {
+    customers: customers.length,
+    services: services.length,
+    targets: targets.length,
+    inFlight,
+    unboundedCustomers: customers
+      .filter(([, customer]) => customer.maxInFlight === undefined)
+      .map(([id]) => id),
+  }
+}
+
+function checkQuotas(cfg: Configuration, team: string): string | undefined {
+  const quotas = cfg.teams[team]?.quotas
+  if (!quotas) return undefined
+  const usage = teamUsage(cfg, team)
+  const counts = [
+    ['maxCustomers', usage.customers, quotas.maxCustomers],
+    ['maxServices', usage.services, quotas.maxServices],
+    ['maxTargets', usage.targets, quotas.maxTargets],
+    ['maxInFlight', usage.inFlight, quotas.maxInFlight],
+  ] as const
+  for (const [name, used, quota] of counts) {
+    if (quota === undefined || used <= quota) continue
+    return `/teams/${team}/quotas/${name}: the team would have ${used} of ${quota}; remove something or ask for a higher quota`
+  }
+  const [unbounded] = usage.unboundedCustomers
+  if (quotas.maxInFlight === undefined || unbounded === undefined)
+    return undefined
+  return `/customers/${unbounded}/maxInFlight: team ${team} has a quota of requests in flight, so each of its customers needs this field`
+}
+
+function unknownTeam(cfg: Configuration): string | undefined {
+  const sections = ['customers', 'services', 'operators'] as const
+  for (const section of sections) {
+    const entries: Record<string, { team?: string }> = cfg[section]
+    for (const [id, { team }] of Object.entries(entries)) {
+      if (team === undefined || Object.hasOwn(cfg.teams, team)) continue
+      return `/${section}/${id}/team: there is no team ${team}; create it first`
+    }
+  }
+  return undefined
+}
+
+/** Returns the first broken quota or reference to a missing team. */
+export function checkTeams(cfg: Configuration): string | undefined {
+  const unknown = unknownTeam(cfg)
+  if (unknown !== undefined) return unknown
+  for (const team of Object.keys(cfg.teams)) {
+    const broken = checkQuotas(cfg, team)
+    if (broken !== undefined) return broken
+  }
+  return undefined
+}
