Split the administration API into a table of routes

Cause: one file held five paths; operators had no way to see history, keys, teams or the version of each router, nor to try a patch out. Change: a route is a method, a path, the least role and a handler; one file a matter.

--- a/packages/core/src/node/patches/patchPaths.ts
+++ b/packages/core/src/node/patches/patchPaths.ts
@@ -31,3 +31,10 @@
   const right = splitPointer(other)
   return isPrefix(left, right) || isPrefix(right, left)
 }
+
+/** Joins names to a JSON Pointer (RFC 6901). */
+export function joinPointer(...names: string[]): string {
+  const escape = (name: string): string =>
+    `/${name.replaceAll('~', '~0').replaceAll('/', '~1')}`
+  return names.map(escape).join('')
+}
--- /dev/null
+++ b/packages/daemon/src/node/admin/adminParts.ts
@@ -0,0 +1,19 @@
+import type { ConsolaInstance } from 'consola'
+import type { ConfigurationTailer } from '../configuration/createConfigurationTailer.js'
+import type { LogClient } from '../logService/logClient.js'
+import type { Membership } from '../membership/createMembership.js'
+import type { Heartbeat } from '../peers/heartbeat.js'
+import type { Routing } from '../routing/routing.js'
+import type { ResolvedSettings } from '../settings/settingsSchema.js'
+
+/** What the administration API works with. */
+export interface AdminParts {
+  readonly settings: ResolvedSettings
+  readonly log: LogClient
+  readonly tailer: ConfigurationTailer
+  readonly membership: Membership
+  readonly routing: Routing
+  /** This router as its peers see it. */
+  readonly self: () => Heartbeat
+  readonly logger: ConsolaInstance
+}
--- a/packages/daemon/src/node/admin/createAdminServer.ts
+++ b/packages/daemon/src/node/admin/createAdminServer.ts
@@ -3,12 +3,7 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http'
-import {
-  CONFIGURATION_SCHEMA,
-  type PatchOutcome,
-  PatchOutcomeKind,
-  patchRecordSchema,
-} from '@auburnbay/core'
+import { includesRole } from '@auburnbay/core'
 import {
   closeServer,
   listen,
@@ -16,22 +11,14 @@
   readBody,
   sendJson,
 } from '@auburnbay/http-utils'
-import type { ConfigurationTailer } from '../configuration/createConfigurationTailer.js'
-import type { LogClient } from '../logService/logClient.js'
-import type { Membership } from '../membership/createMembership.js'
-import { secretsMatch } from '../peers/peerSecret.js'
-import type { Routing } from '../routing/routing.js'
-import type { ResolvedSettings } from '../settings/settingsSchema.js'
-import { submitPatch } from './submitPatch.js'
-
-/** What the administration API works with. */
-export interface AdminServerOptions {
-  readonly settings: ResolvedSettings
-  readonly log: LogClient
-  readonly tailer: ConfigurationTailer
-  readonly membership: Membership
-  readonly routing: Routing
-}
+import { err, ok, type Result } from 'neverthrow'
+import { AdminErrorCode } from './adminErrorCode.js'
+import type { AdminParts } from './adminParts.js'
+import { refuse } from './adminReplies.js'
+import type { AdminReply } from './adminRoute.js'
+import { authenticateOperator } from './authenticateOperator.js'
+import { createAdminRoutes } from './createAdminRoutes.js'
+import { matchRoutes } from './matchRoute.js'
 
 /** The listener for operators. */
 export interface AdminServer {
@@ -39,94 +26,87 @@
   stop(): Promise<void>
 }
 
-const OUTCOME_STATUS: Readonly<Record<PatchOutcomeKind, number>> = {
-  [PatchOutcomeKind.Applied]: 200,
-  [PatchOutcomeKind.Duplicate]: 200,
-  [PatchOutcomeKind.Conflict]: 409,
-  [PatchOutcomeKind.Invalid]: 422,
-}
-
-function sendError(res: ServerResponse, status: number, message: string): void {
-  sendJson(res, status, { error: { message } })
-}
-
-function sendOutcome(
-  res: ServerResponse,
-  patchId: string,
-  outcome: PatchOutcome | undefined,
-): void {
-  if (outcome) {
-    sendJson(res, OUTCOME_STATUS[outcome.kind], outcome)
-    return
-  }
-  const message = `the log has not confirmed the patch; ask again for patch ${patchId}`
-  sendError(res, 504, message)
-}
-
 /** Starts listening for operators. */
 export async function createAdminServer(
-  options: AdminServerOptions,
+  parts: AdminParts,
 ): Promise<AdminServer> {
-  const { settings, log, tailer, membership, routing } = options
+  const { settings, tailer } = parts
+  const routes = createAdminRoutes(parts)
 
-  async function submit(
+  async function readJson(
     req: IncomingMessage,
-    res: ServerResponse,
-  ): Promise<void> {
+  ): Promise<Result<unknown, AdminReply>> {
     const body = await readBody(req, settings.callers.maxBodyBytes)
     if (body.isErr()) {
-      sendError(res, 413, 'the patch is too large')
-      return
+      const message = `the body is over ${settings.callers.maxBodyBytes} bytes or was cut off`
+      return err(refuse(AdminErrorCode.TooLarge, message))
     }
-    let value: unknown
+    const text = body.value.toString('utf8')
     try {
-      value = JSON.parse(body.value.toString('utf8'))
+      return ok(text === '' ? undefined : (JSON.parse(text) as unknown))
     } catch {
-      sendError(res, 400, 'the patch is not JSON')
-      return
+      return err(refuse(AdminErrorCode.BadRequest, 'the body is not JSON'))
     }
-    const parsed = patchRecordSchema.safeParse({
-      ...(value as object),
-      type: 'patch',
-      schema: CONFIGURATION_SCHEMA,
-    })
-    if (!parsed.success) {
-      sendError(res, 400, parsed.error.message)
-      return
+  }
+
+  async function answer(req: IncomingMessage): Promise<AdminReply> {
+    const { pathname, searchParams } = new URL(req.url ?? '/', 'http://admin')
+    const { configuration } = tailer.state
+    const { admin } = settings.secrets
+    const actor = authenticateOperator(req, configuration, admin, Date.now())
+    if (actor.isErr()) return actor.error
+    const matches = matchRoutes(routes, pathname)
+    if (matches.length === 0) {
+      const message = 'unknown path; see docs/admin-api.md'
+      return refuse(AdminErrorCode.NotFound, message)
+    }
+    const match = matches.find(({ route }) => route.method === req.method)
+    if (!match) {
+      const methods = matches.map(({ route }) => route.method).join(', ')
+      const message = `this path takes ${methods}`
+      return refuse(AdminErrorCode.MethodNotAllowed, message)
+    }
+    const { route, params } = match
+    if (!includesRole(actor.value.role, route.role)) {
+      const message = `operator ${actor.value.id} is ${actor.value.role}; this call needs the role ${route.role}`
+      return refuse(AdminErrorCode.Forbidden, message)
     }
-    const outcome = await submitPatch(log, tailer, parsed.data)
-    sendOutcome(res, parsed.data.patchId, outcome)
+    const body = await readJson(req)
+    if (body.isErr()) return body.error
+    return route.handle({
+      actor: actor.value,
+      params,
+      query: searchParams,
+      body: body.value,
+    })
   }
 
   async function serve(
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
-    const { pathname } = new URL(req.url ?? '/', 'http://admin')
-    const token = /^Bearer (\S+)$/.exec(req.headers.authorization ?? '')?.[1]
-    if (!secretsMatch(token ?? '', settings.secrets.admin)) {
-      sendError(res, 401, 'send an operator token')
-      return
-    }
-    const patchId = /^\/config\/patches\/([\w.-]+)$/.exec(pathname)?.[1]
-    if (pathname === '/config/patches' && req.method === 'POST')
-      await submit(req, res)
-    else if (patchId !== undefined)
-      sendOutcome(res, patchId, tailer.state.outcomes.get(patchId))
-    else if (pathname === '/config') {
-      const { version, configuration } = tailer.state
-      sendJson(res, 200, { version, configuration })
-    } else if (pathname === '/routers')
-      sendJson(res, 200, membership.livePeers())
-    else if (pathname === '/targets') sendJson(res, 200, routing.status())
-    else sendError(res, 404, 'unknown path; see docs/admin-api.md')
+    const { status, body } = await answer(req)
+    // An unread body would be taken for the next request.
+    const closes = status >= 400 && !req.complete
+    sendJson(res, status, body, closes ? { connection: 'close' } : {})
   }
 
-  const server = createServer((req, res) => {
-    serve(req, res).catch((error: unknown) => {
-      sendError(res, 500, String(error))
-    })
-  })
+  const server = createServer(
+    {
+      maxHeaderSize: settings.callers.maxHeaderBytes,
+      headersTimeout: settings.callers.headersTimeoutMs,
+      requestTimeout: settings.callers.requestTimeoutMs,
+    },
+    (req, res) => {
+      serve(req, res).catch((error: unknown) => {
+        parts.logger.error(`A call failed: ${String(error)}.`)
+        const message = 'the router failed; see its log'
+        const failed = refuse(AdminErrorCode.Internal, message)
+        if (res.headersSent) res.destroy()
+        else sendJson(res, failed.status, failed.body)
+      })
+    },
+  )
   const address = await listen(server, settings.listen.admin)
   return {
     address,
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -115,6 +115,8 @@
     tailer,
     membership,
     routing,
+    self,
+    logger: logs.part('admin'),
   })
   const addresses = {
     callers: callers.address,
