--- a/packages/daemon/src/node/admin/__tests__/adminApi.test.ts
+++ b/packages/daemon/src/node/admin/__tests__/adminApi.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { after, before, describe, it } from 'node:test'
+import { TARGET_HEADER } from '@auburnbay/core'
 import { callChat } from '../../__tests__/callApi.js'
 import {
   eventually,
@@ -155,6 +156,21 @@
     await post('/targets/charts-1/undrain')
   })
 
+  it('says where a chat would go, and it goes there', async () => {
+    const where = await get('/chats/voyage-9')
+    const [place] = where.body as unknown as { target: string }[]
+    const key = fleet.callerKey
+    const answer = await callChat(fleet.callerUrl(), key, 'voyage-9')
+    assert.equal(answer.headers[TARGET_HEADER], place?.target)
+    const why = await get(
+      '/explain?service=briefing&customer=corrib&chat=voyage-9',
+    )
+    assert.equal(why.body.chosen, place?.target)
+    assert.equal(why.body.candidates.length, 2)
+    assert.equal((await get('/explain?service=nothing')).status, 404)
+    assert.equal((await get('/explain')).status, 400)
+  })
+
   it('shows the version of each router', async () => {
     await eventually(async () => {
       const { body } = await get('/config/status')
--- a/packages/daemon/src/node/admin/__tests__/callAdmin.ts
+++ b/packages/daemon/src/node/admin/__tests__/callAdmin.ts
@@ -34,6 +34,8 @@
   readonly keyId: string
   readonly token: string
   readonly weight: number
+  readonly chosen: string
+  readonly candidates: readonly unknown[]
   readonly error: { readonly code: string; readonly message: string }
 }
 
--- a/packages/daemon/src/node/admin/createAdminRoutes.ts
+++ b/packages/daemon/src/node/admin/createAdminRoutes.ts
@@ -3,6 +3,7 @@
 import { createConfigurationWriter } from './configurationWriter.js'
 import { createConfigurationRoutes } from './routes/configurationRoutes.js'
 import { createDrainRoutes } from './routes/drainRoutes.js'
+import { createExplainRoutes } from './routes/explainRoutes.js'
 import { createFleetRoutes } from './routes/fleetRoutes.js'
 import { createHistoryRoutes } from './routes/historyRoutes.js'
 import { createKeyRoutes } from './routes/keyRoutes.js'
@@ -18,6 +19,7 @@
     ...createPatchRoutes(parts, writer),
     ...createHistoryRoutes(parts),
     ...createFleetRoutes(parts),
+    ...createExplainRoutes(parts),
     ...createDrainRoutes(writer),
     ...createKeyRoutes(parts, writer),
     ...createOperatorRoutes(parts, writer),
