--- a/packages/cli/src/node/adminClient.ts
+++ b/packages/cli/src/node/adminClient.ts
@@ -5,24 +5,28 @@
 } from '@auburnbay/http-utils'
 import type { Result } from 'neverthrow'
 
+/** One call of the administration API. */
+export interface AdminRequest {
+  /** @default "GET" */
+  readonly method?: 'DELETE' | 'GET' | 'POST' | 'PUT'
+  readonly path: string
+  readonly body?: unknown
+}
+
 /** Calls the administration API of one router. */
 export interface AdminClient {
-  call(
-    method: string,
-    path: string,
-    body?: unknown,
-  ): Promise<Result<JsonReply, CallError>>
+  call(req: AdminRequest): Promise<Result<JsonReply, CallError>>
 }
 
-const TIMEOUT_MS = 10_000
+const TIMEOUT_MS = 30_000
 
 /** Creates a client for the router at `baseUrl`. */
 export function createAdminClient(baseUrl: string, token: string): AdminClient {
   return {
-    call: (method, path, body) =>
+    call: ({ method = 'GET', path, body }) =>
       requestJson({
         method,
-        url: `${baseUrl}${path}`,
+        url: `${baseUrl.replace(/\/$/, '')}${path}`,
         body,
         timeoutMs: TIMEOUT_MS,
         headers: { authorization: `Bearer ${token}` },
--- a/packages/cli/src/node/bin.ts
+++ b/packages/cli/src/node/bin.ts
@@ -1,18 +1,11 @@
 #!/usr/bin/env node
-import { run, subcommands } from 'cmd-ts'
-import { configGet } from './commands/configGet.js'
-import { configPatch } from './commands/configPatch.js'
+import { runSafely } from 'cmd-ts'
+import { createApp } from './createApp.js'
+import { ExitCode } from './exitCode.js'
 
-const config = subcommands({
-  name: 'config',
-  description: 'Read and change the configuration.',
-  cmds: { get: configGet, patch: configPatch },
-})
-
-const app = subcommands({
-  name: 'auburnbay',
-  description: 'Administers an auburnbay router fleet.',
-  cmds: { config },
-})
-
-await run(app, process.argv.slice(2))
+const result = await runSafely(createApp(), process.argv.slice(2))
+if (result._tag === 'error') {
+  const { message, into, exitCode } = result.error.config
+  process[into].write(`${message}\n`)
+  process.exitCode = exitCode === 0 ? ExitCode.Done : ExitCode.Usage
+}
--- /dev/null
+++ b/packages/cli/src/node/commands/config/historyCommand.ts
@@ -0,0 +1,49 @@
+import { command, number, option } from 'cmd-ts'
+import { type Row } from '../../output/table.js'
+import { connectionArgs } from '../connectionArgs.js'
+import { asTable, runCall } from '../runCall.js'
+
+const DEFAULT_LIMIT = 20
+
+interface Entry {
+  readonly version: number
+  readonly author: string
+  readonly atMs: number
+  readonly operations: readonly { op: string; path: string }[]
+}
+
+/** Turns a change into a row: when, who and which paths. */
+export function historyRow(value: unknown): Row {
+  const { version, author, atMs, operations } = value as Entry
+  const changes = operations.map(({ op, path }) => `${op} ${path}`)
+  const at = new Date(atMs).toISOString()
+  return { version, author, at, changes: changes.join('\n') }
+}
+
+/** Columns of a list of changes. */
+export const historyColumns = [
+  { title: 'VERSION', field: 'version', right: true },
+  { title: 'AT', field: 'at' },
+  { title: 'AUTHOR', field: 'author' },
+  { title: 'CHANGES', field: 'changes' },
+]
+
+/** Shows who changed what. */
+export const historyCommand = command({
+  name: 'history',
+  description: 'Show the newest changes with their authors.',
+  args: {
+    ...connectionArgs,
+    limit: option({
+      long: 'limit',
+      type: number,
+      defaultValue: () => DEFAULT_LIMIT,
+      description: 'changes shown at most',
+    }),
+  },
+  handler: (args) =>
+    runCall(args, { path: `/config/history?limit=${args.limit}` }, (body) => {
+      const { entries } = body as { entries: readonly unknown[] }
+      return asTable(historyColumns)(entries.map(historyRow))
+    }),
+})
--- a/packages/cli/src/node/commands/connectionArgs.ts
+++ b/packages/cli/src/node/commands/connectionArgs.ts
@@ -1,6 +1,13 @@
-import { option, string } from 'cmd-ts'
+import { boolean, flag, option, string } from 'cmd-ts'
 
-/** Options that name the router to ask and the operator who asks. */
+/** The router to ask, the operator who asks and the form of the answer. */
+export interface Connection {
+  readonly admin: string
+  readonly token: string
+  readonly json: boolean
+}
+
+/** Options that every command takes. */
 export const connectionArgs = {
   admin: option({
     long: 'admin',
@@ -12,6 +19,11 @@
     long: 'token',
     env: 'AUBURNBAY_TOKEN',
     type: string,
-    description: 'operator token',
+    description: 'operator token; prefer the variable, as others see arguments',
+  }),
+  json: flag({
+    long: 'json',
+    type: boolean,
+    description: 'print the answer as JSON',
   }),
 }
--- /dev/null
+++ b/packages/cli/src/node/commands/entries/entryCommands.ts
@@ -0,0 +1,84 @@
+import { command, positional, string, subcommands } from 'cmd-ts'
+import { ExitCode } from '../../exitCode.js'
+import { messages } from '../../output/messages.js'
+import type { Column } from '../../output/table.js'
+import { connectionArgs } from '../connectionArgs.js'
+import { readJsonFile } from '../readJsonFile.js'
+import { asEntryTable, asVersion, pathOf, runCall } from '../runCall.js'
+
+/** What a group of entry commands is about. */
+export interface EntryCommandsOptions {
+  /** Path of the section, `customers`. */
+  readonly section: string
+  /** What one entry is called, `customer`. */
+  readonly noun: string
+  readonly columns: readonly Column[]
+}
+
+const id = positional({ type: string, displayName: 'ID' })
+
+/** Creates the commands that list, show, set and remove entries of a section. */
+export function entryCommands(options: EntryCommandsOptions) {
+  const { section, noun, columns } = options
+
+  const list = command({
+    name: 'list',
+    description: `List every ${noun}.`,
+    args: connectionArgs,
+    handler: (args) =>
+      runCall(args, { path: `/${section}` }, asEntryTable(columns)),
+  })
+  const show = command({
+    name: 'show',
+    description: `Show one ${noun} as JSON.`,
+    args: { ...connectionArgs, id },
+    handler: (args) => runCall(args, { path: pathOf(section, args.id) }),
+  })
+  const set = command({
+    name: 'set',
+    description: `Create or replace a ${noun}; keys and tokens stay.`,
+    examples: [
+      {
+        description: 'from standard input',
+        command: `auburnbay ${section} set ID - < ${noun}.json`,
+      },
+    ],
+    args: {
+      ...connectionArgs,
+      id,
+      file: positional({ type: string, displayName: 'FILE' }),
+    },
+    handler: async ({ id: entry, file, ...connection }) => {
+      const body = readJsonFile(file)
+      if (body.isErr()) {
+        messages.error(`${body.error}.`)
+        process.exitCode = ExitCode.Usage
+        return
+      }
+      const path = pathOf(section, entry)
+      const req = { method: 'PUT' as const, path, body: body.value }
+      await runCall(connection, req, asVersion(`Set ${noun} ${entry}`))
+    },
+  })
+  const remove = command({
+    name: 'remove',
+    description: `Remove a ${noun}.`,
+    args: { ...connectionArgs, id },
+    handler: ({ id: entry, ...connection }) =>
+      runCall(
+        connection,
+        { method: 'DELETE', path: pathOf(section, entry) },
+        asVersion(`Removed ${noun} ${entry}`),
+      ),
+  })
+  return { list, show, set, remove }
+}
+
+/** Creates a group with just the entry commands. */
+export function entryGroup(options: EntryCommandsOptions) {
+  return subcommands({
+    name: options.section,
+    description: `List and change every ${options.noun}.`,
+    cmds: entryCommands(options),
+  })
+}
--- /dev/null
+++ b/packages/cli/src/node/commands/fleet/chatCommands.ts
@@ -0,0 +1,58 @@
+import {
+  command,
+  option,
+  optional,
+  positional,
+  string,
+  subcommands,
+} from 'cmd-ts'
+import { connectionArgs } from '../connectionArgs.js'
+import { asTable, pathOf, runCall } from '../runCall.js'
+
+const where = command({
+  name: 'where',
+  description: 'Show the target that the chat’s next request would go to.',
+  examples: [
+    {
+      description: 'for one service',
+      command: 'auburnbay chats where voyage-17 --service briefing',
+    },
+  ],
+  args: {
+    ...connectionArgs,
+    chat: positional({ type: string, displayName: 'CHAT' }),
+    service: option({
+      long: 'service',
+      type: optional(string),
+      description: 'every model service by default',
+    }),
+    customer: option({
+      long: 'customer',
+      type: string,
+      defaultValue: () => '',
+      description: 'customer that asks',
+    }),
+  },
+  handler: ({ chat, service, customer, ...connection }) => {
+    const query = new URLSearchParams({ customer })
+    if (service !== undefined) query.set('service', service)
+    const path = `${pathOf('chats', chat)}?${query.toString()}`
+    return runCall(
+      connection,
+      { path },
+      asTable([
+        { title: 'CHAT', field: 'chat' },
+        { title: 'SERVICE', field: 'service' },
+        { title: 'TARGET', field: 'target' },
+        { title: 'HINT', field: 'hintSource' },
+      ]),
+    )
+  },
+})
+
+/** Commands on chats. */
+export const chatCommands = subcommands({
+  name: 'chats',
+  description: 'Find chats.',
+  cmds: { where },
+})
--- /dev/null
+++ b/packages/cli/src/node/commands/fleet/routersCommand.ts
@@ -0,0 +1,22 @@
+import { command } from 'cmd-ts'
+import { connectionArgs } from '../connectionArgs.js'
+import { asTable, runCall } from '../runCall.js'
+
+/** Shows the routers that the router asked has heard of. */
+export const routersCommand = command({
+  name: 'routers',
+  description: 'Show the routers that the one asked has heard of.',
+  args: connectionArgs,
+  handler: (args) =>
+    runCall(
+      args,
+      { path: '/routers' },
+      asTable([
+        { title: 'ROUTER', field: 'id' },
+        { title: 'DATA CENTRE', field: 'dataCentre' },
+        { title: 'VERSION', field: 'version', right: true },
+        { title: 'STOPPING', field: 'stopping' },
+        { title: 'HEARD MS AGO', field: 'ageMs', right: true },
+      ]),
+    ),
+})
--- /dev/null
+++ b/packages/cli/src/node/commands/secrets/createOperatorCommand.ts
@@ -0,0 +1,46 @@
+import {
+  command,
+  number,
+  option,
+  oneOf,
+  optional,
+  positional,
+  string,
+} from 'cmd-ts'
+import { Role } from '@auburnbay/core/teams/role'
+import { connectionArgs } from '../connectionArgs.js'
+import { runCall } from '../runCall.js'
+import { asSecret } from './asSecret.js'
+
+/** Creates an operator and shows its token once. */
+export const createOperatorCommand = command({
+  name: 'create',
+  description: 'Create an operator and show its token once.',
+  examples: [
+    {
+      description: 'an operator of team ice who may change its entries',
+      command: 'auburnbay operators create anna --team ice --role editor',
+    },
+  ],
+  args: {
+    ...connectionArgs,
+    id: positional({ type: string, displayName: 'ID' }),
+    team: option({ long: 'team', type: string }),
+    role: option({ long: 'role', type: oneOf(Object.values(Role)) }),
+    expiresInS: option({
+      long: 'expires-in-s',
+      type: optional(number),
+      description: 'seconds that the token works; 90 days by default',
+    }),
+  },
+  handler: ({ id, team, role, expiresInS, ...connection }) =>
+    runCall(
+      connection,
+      {
+        method: 'POST',
+        path: '/operators',
+        body: { id, team, role, expiresInS },
+      },
+      asSecret('token'),
+    ),
+})
--- /dev/null
+++ b/packages/cli/src/node/commands/secrets/keyCommands.ts
@@ -0,0 +1,91 @@
+import {
+  command,
+  number,
+  option,
+  optional,
+  positional,
+  string,
+  subcommands,
+} from 'cmd-ts'
+import { connectionArgs } from '../connectionArgs.js'
+import { asVersion, pathOf, runCall } from '../runCall.js'
+import { asSecret } from './asSecret.js'
+
+const MS_PER_S = 1_000
+
+const names = {
+  customer: positional({ type: string, displayName: 'CUSTOMER' }),
+  keyId: positional({ type: string, displayName: 'KEY-ID' }),
+}
+
+const create = command({
+  name: 'create',
+  description: 'Create a caller key and show it once.',
+  examples: [
+    {
+      description: 'a key for the bridge that lasts 30 days',
+      command: 'auburnbay keys create corrib bridge --expires-in-s 2592000',
+    },
+  ],
+  args: {
+    ...connectionArgs,
+    ...names,
+    expiresInS: option({
+      long: 'expires-in-s',
+      type: optional(number),
+      description: 'seconds that the key works; without end by default',
+    }),
+  },
+  handler: ({ customer, keyId, expiresInS, ...connection }) => {
+    const expiresAtMs =
+      expiresInS === undefined
+        ? undefined
+        : Math.ceil(Date.now() + expiresInS * MS_PER_S)
+    const path = pathOf('customers', customer, 'keys')
+    const req = { method: 'POST' as const, path, body: { keyId, expiresAtMs } }
+    return runCall(connection, req, asSecret('key'))
+  },
+})
+
+const rotate = command({
+  name: 'rotate',
+  description: 'Create the next key; the old one goes on for a while.',
+  examples: [
+    {
+      description: 'both keys work for an hour',
+      command: 'auburnbay keys rotate corrib bridge --overlap-s 3600',
+    },
+  ],
+  args: {
+    ...connectionArgs,
+    ...names,
+    overlapS: option({
+      long: 'overlap-s',
+      type: optional(number),
+      description: 'seconds that the old key goes on; a day by default',
+    }),
+  },
+  handler: ({ customer, keyId, overlapS, ...connection }) => {
+    const path = pathOf('customers', customer, 'keys', keyId, 'rotate')
+    const req = { method: 'POST' as const, path, body: { overlapS } }
+    return runCall(connection, req, asSecret('key'))
+  },
+})
+
+const revoke = command({
+  name: 'revoke',
+  description: 'End a caller key at once.',
+  args: { ...connectionArgs, ...names },
+  handler: ({ customer, keyId, ...connection }) => {
+    const path = pathOf('customers', customer, 'keys', keyId)
+    const req = { method: 'DELETE' as const, path }
+    return runCall(connection, req, asVersion(`Revoked ${customer}/${keyId}`))
+  },
+})
+
+/** Commands on callers' keys. */
+export const keyCommands = subcommands({
+  name: 'keys',
+  description: 'Create, rotate and revoke callers’ keys.',
+  cmds: { create, rotate, revoke },
+})
--- /dev/null
+++ b/packages/cli/src/node/commands/secrets/rotateOperatorCommand.ts
@@ -0,0 +1,24 @@
+import { command, number, option, optional, positional, string } from 'cmd-ts'
+import { connectionArgs } from '../connectionArgs.js'
+import { pathOf, runCall } from '../runCall.js'
+import { asSecret } from './asSecret.js'
+
+/** Gives an operator a new token. */
+export const rotateOperatorCommand = command({
+  name: 'rotate',
+  description: 'Give an operator a new token; the old one ends at once.',
+  args: {
+    ...connectionArgs,
+    id: positional({ type: string, displayName: 'ID' }),
+    expiresInS: option({
+      long: 'expires-in-s',
+      type: optional(number),
+      description: 'seconds that the token works; 90 days by default',
+    }),
+  },
+  handler: ({ id, expiresInS, ...connection }) => {
+    const path = pathOf('operators', id, 'rotate')
+    const req = { method: 'POST' as const, path, body: { expiresInS } }
+    return runCall(connection, req, asSecret('token'))
+  },
+})
--- /dev/null
+++ b/packages/cli/src/node/output/printReply.ts
@@ -0,0 +1,47 @@
+import type { CallError, JsonReply } from '@auburnbay/http-utils'
+import type { Result } from 'neverthrow'
+import { ExitCode } from '../exitCode.js'
+import { messages } from './messages.js'
+
+const EXIT_CODES: Readonly<Record<number, ExitCode>> = {
+  401: ExitCode.Forbidden,
+  403: ExitCode.Forbidden,
+  409: ExitCode.Conflict,
+  504: ExitCode.Unknown,
+}
+
+/** Shows a successful answer to people. */
+export type Formatter = (body: unknown) => string
+
+function errorMessage(body: unknown): string {
+  const { error } = (body ?? {}) as { error?: { message?: unknown } }
+  return typeof error?.message === 'string'
+    ? error.message
+    : JSON.stringify(body)
+}
+
+function asJson(body: unknown): string {
+  return JSON.stringify(body, null, 2)
+}
+
+/** Prints an answer and returns the exit code that belongs to it. */
+export function printReply(
+  reply: Result<JsonReply, CallError>,
+  json: boolean,
+  format: Formatter = asJson,
+): ExitCode {
+  if (reply.isErr()) {
+    messages.error(
+      `${reply.error.message}; check --admin and that the router runs.`,
+    )
+    return ExitCode.Unreachable
+  }
+  const { status, body } = reply.value
+  if (status < 300) {
+    process.stdout.write(`${json ? asJson(body) : format(body)}\n`)
+    return ExitCode.Done
+  }
+  messages.error(`${errorMessage(body)}.`)
+  if (json) process.stdout.write(`${asJson(body)}\n`)
+  return EXIT_CODES[status] ?? ExitCode.Failed
+}
--- /dev/null
+++ b/packages/cli/src/node/output/table.ts
@@ -0,0 +1,56 @@
+import Table from 'cli-table3'
+
+/** One column of a table. */
+export interface Column {
+  readonly title: string
+  /** Name of the field shown. */
+  readonly field: string
+  /** @default false */
+  readonly right?: boolean
+}
+
+/** A record as the administration API sends it. */
+export type Row = Readonly<Record<string, unknown>>
+
+const PLAIN_LINES = {
+  top: '',
+  'top-mid': '',
+  'top-left': '',
+  'top-right': '',
+  bottom: '',
+  'bottom-mid': '',
+  'bottom-left': '',
+  'bottom-right': '',
+  left: '',
+  'left-mid': '',
+  mid: '',
+  'mid-mid': '',
+  right: '',
+  'right-mid': '',
+  middle: '  ',
+}
+
+function cell(value: unknown): string {
+  if (value === undefined || value === null) return '-'
+  if (typeof value === 'number')
+    return Number.isInteger(value) ? String(value) : value.toFixed(2)
+  if (typeof value === 'string') return value
+  return JSON.stringify(value)
+}
+
+/** Lays records out as a table without lines. */
+export function formatTable(
+  columns: readonly Column[],
+  rows: readonly Row[],
+): string {
+  const table = new Table({
+    head: columns.map((column) => column.title),
+    chars: PLAIN_LINES,
+    style: { head: [], border: [], 'padding-left': 0, 'padding-right': 0 },
+    colAligns: columns.map(({ right }) => (right ? 'right' : 'left')),
+  })
+  for (const row of rows)
+    table.push(columns.map(({ field }) => cell(row[field])))
+  const lines = table.toString().split('\n')
+  return lines.map((line) => line.trimEnd()).join('\n')
+}
