--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -150,6 +150,8 @@
     tailer,
     membership,
     routing,
+    self,
+    logger: logs.part('admin'),
   })
   const addresses = {
     callers: callers.address,
