--- a/packages/daemon/src/node/admission/createFleetAdmission.ts
+++ b/packages/daemon/src/node/admission/createFleetAdmission.ts
@@ -31,8 +31,17 @@
   const { settings, configuration, metrics, now } = options
   const router = settings.router.id
   const staleMs = settings.peers.heartbeatMs * STALE_HEARTBEATS
-  const usage = createFleetUsage({ ...options, router })
-  const limited = { router, staleMs, configuration, usage, metrics, now }
+  const holdMs = settings.limits.silentHoldMs
+  const usage = createFleetUsage({ ...options, router, holdMs })
+  const limited = {
+    router,
+    staleMs,
+    holdMs,
+    configuration,
+    usage,
+    metrics,
+    now,
+  }
   return createAdmission({
     ...options,
     settings: settings.queue,
--- a/packages/daemon/src/node/limits/__tests__/fleetLimits.test.ts
+++ b/packages/daemon/src/node/limits/__tests__/fleetLimits.test.ts
@@ -19,7 +19,11 @@
   let open: OpenCall[] = []
 
   before(async () => {
-    fleet = await startFleet({ routers: 2, engines: 1 })
+    fleet = await startFleet({
+      routers: 2,
+      engines: 1,
+      settings: { limits: { silentHoldMs: 200 } },
+    })
   })
 
   after(() => fleet.stop())
@@ -27,10 +31,14 @@
   afterEach(async () => {
     for (const call of open) call.leave()
     open = []
-    await eventually(() =>
+    await idle()
+  })
+
+  function idle(): Promise<void> {
+    return eventually(() =>
       fleet.routers.every(({ load }) => load.running === 0),
     )
-  })
+  }
 
   async function limitTo(limits: Record<string, number>): Promise<void> {
     const operations = Object.entries(limits).map(([name, value]) => ({
@@ -88,7 +96,10 @@
     // The only place belongs to one of the two, whoever that is.
     const rounds: string[] = []
     await eventually(async () => {
-      rounds.push(`${await isRefused(0)} ${await isRefused(1)}`)
+      await idle()
+      const first = await isRefused(0)
+      await idle()
+      rounds.push(`${first} ${await isRefused(1)}`)
       const last = rounds.slice(-ROUNDS)
       const same = last.every((round) => round === last[0])
       return (
--- a/packages/daemon/src/node/limits/createCustomerLimits.ts
+++ b/packages/daemon/src/node/limits/createCustomerLimits.ts
@@ -10,7 +10,6 @@
 import { err, ok } from 'neverthrow'
 import { createFailure } from '../callers/createFailure.js'
 import type { Metrics } from '../metrics/metrics.js'
-import { DIGEST_HOLD_MS } from './constants.js'
 import type { FleetUsage } from './createFleetUsage.js'
 import type { CustomerLimits } from './customerLimits.js'
 
@@ -19,6 +18,8 @@
   readonly router: string
   /** Milliseconds after which a digest is no longer trusted. */
   readonly staleMs: number
+  /** Milliseconds for which a silent peer's last digest counts. */
+  readonly holdMs: number
   readonly configuration: () => Configuration
   readonly usage: FleetUsage
   readonly metrics: Metrics
@@ -71,7 +72,8 @@
   function overInFlight(customer: string, limit: number): boolean {
     const peers = usage.peers((digest) => digest.customers[customer] ?? 0)
     const { InFlight } = LimitKind
-    const allowed = allowance(customer, InFlight, limit, peers, DIGEST_HOLD_MS)
+    const { holdMs } = options
+    const allowed = allowance(customer, InFlight, limit, peers, holdMs)
     return (inFlight.get(customer) ?? 0) >= allowed
   }
 
--- a/packages/daemon/src/node/limits/createFleetUsage.ts
+++ b/packages/daemon/src/node/limits/createFleetUsage.ts
@@ -1,7 +1,6 @@
 import { type PeerUsage, type VmEntry, VmRole } from '@auburnbay/core'
 import type { Membership } from '../membership/createMembership.js'
 import type { Digest } from '../peers/heartbeat.js'
-import { DIGEST_HOLD_MS } from './constants.js'
 
 /** What the other routers of the fleet use, silent ones included. */
 export interface FleetUsage {
@@ -11,6 +10,8 @@
 /** What a fleet's usage is made of. */
 export interface FleetUsageOptions {
   readonly router: string
+  /** Milliseconds for which a silent peer's last digest counts. */
+  readonly holdMs: number
   readonly membership: () => Pick<Membership, 'livePeers'>
   readonly vms: () => readonly VmEntry[]
   readonly now: () => number
@@ -23,7 +24,7 @@
 
 /** Remembers each peer's last digest after the peer fell silent. */
 export function createFleetUsage(options: FleetUsageOptions): FleetUsage {
-  const { router, membership, vms, now } = options
+  const { router, holdMs, membership, vms, now } = options
   const heard = new Map<string, Heard>()
 
   function listen(): void {
@@ -50,7 +51,7 @@
       const routers = listed()
       const peers = [...routers].map((id) => usageOf(id, use))
       for (const [id, { atMs }] of heard) {
-        if (now() - atMs > DIGEST_HOLD_MS) heard.delete(id)
+        if (now() - atMs > holdMs) heard.delete(id)
         else if (!routers.has(id)) {
           // A router off the list counts only for what it may still run.
           const peer = usageOf(id, use)
--- a/packages/daemon/src/node/limits/createServiceConcurrency.ts
+++ b/packages/daemon/src/node/limits/createServiceConcurrency.ts
@@ -1,6 +1,5 @@
 import { type Configuration, fleetAllowance, fleetShare } from '@auburnbay/core'
 import type { ResolvedSettings } from '../settings/settingsSchema.js'
-import { DIGEST_HOLD_MS } from './constants.js'
 import type { FleetUsage } from './createFleetUsage.js'
 
 /** What the concurrency of services is worked out from. */
@@ -8,6 +7,8 @@
   readonly router: string
   /** Milliseconds after which a digest is no longer trusted. */
   readonly staleMs: number
+  /** Milliseconds for which a silent peer's last digest counts. */
+  readonly holdMs: number
   readonly settings: ResolvedSettings['queue']
   readonly configuration: () => Configuration
   readonly eligible: (targetId: string) => boolean
@@ -21,7 +22,7 @@
 export function createServiceConcurrency(
   options: ServiceConcurrencyOptions,
 ): (service: string) => number {
-  const { router, staleMs, settings, configuration, usage } = options
+  const { router, staleMs, holdMs, settings, configuration, usage } = options
 
   return (service) => {
     const ids: string[] = []
@@ -44,7 +45,7 @@
       router,
       peers,
       staleMs,
-      holdMs: DIGEST_HOLD_MS,
+      holdMs,
     })
     // Its share is a router's own even while busier peers borrow it.
     const share = fleetShare(limit, service, router, routers)
--- a/packages/daemon/src/node/settings/settingsSchema.ts
+++ b/packages/daemon/src/node/settings/settingsSchema.ts
@@ -90,6 +90,15 @@
       maxWaitMs: positiveMs.default(10_000),
     })
     .prefault({}),
+  limits: z
+    .strictObject({
+      /**
+       * Milliseconds for which the use that a silent peer last told of counts
+       * on; the longest answers should be shorter. @default 120000
+       */
+      silentHoldMs: positiveMs.default(120_000),
+    })
+    .prefault({}),
   retries: z
     .strictObject({
       /** Retries for each first try of a service. @default 0.2 */
