--- a/packages/measure/src/node/limits/limitsMeasures.ts
+++ b/packages/measure/src/node/limits/limitsMeasures.ts
@@ -2,6 +2,7 @@
 import { deployments } from './deployments.js'
 import { measureFleetLimits } from './measureFleetLimits.js'
 import { measureOrder } from './measureOrder.js'
+import { measureRetries } from './measureRetries.js'
 import { measureShares } from './measureShares.js'
 import { measureShedding } from './measureShedding.js'
 
@@ -12,6 +13,7 @@
     ...deployments.flatMap(measureOrder),
     ...deployments.flatMap(measureShares),
     ...measureFleetLimits(),
+    ...deployments.flatMap(measureRetries),
     ...deployments.flatMap(measureShedding),
   ],
 }
--- /dev/null
+++ b/packages/measure/src/node/limits/measureRetries.ts
@@ -0,0 +1,63 @@
+import type { Figure } from '../figure.js'
+import type { Deployment } from './deployments.js'
+import { MAX_EJECTED_SHARE, RETRY_RATIO, runRetries } from './runRetries.js'
+
+const REQUESTS = 20_000
+
+/** Retries and ejection while half of a service is down. */
+export function measureRetries({ name, targets }: Deployment): Figure[] {
+  const service = { targets, requests: REQUESTS }
+  const run = runRetries({ ...service, budgeted: true, ejecting: true })
+  const budgetOnly = runRetries({
+    ...service,
+    budgeted: true,
+    ejecting: false,
+  })
+  const unlimited = runRetries({
+    ...service,
+    budgeted: false,
+    ejecting: false,
+  })
+  const measure = `limits.${name}`
+  return [
+    {
+      measure: `${measure}.retry-ratio-half-down`,
+      value: run.retries / run.firstTries,
+      unit: 'retries a first try',
+      bound: RETRY_RATIO,
+      baseline: unlimited.retries / unlimited.firstTries,
+    },
+    {
+      measure: `${measure}.retry-ratio-half-down-without-ejection`,
+      value: budgetOnly.retries / budgetOnly.firstTries,
+      unit: 'retries a first try',
+      bound: RETRY_RATIO,
+      baseline: unlimited.retries / unlimited.firstTries,
+    },
+    {
+      measure: `${measure}.unsafe-retries`,
+      value: run.unsafeRetries + budgetOnly.unsafeRetries,
+      unit: 'repeats of what may have run',
+      bound: 0,
+      baseline: unlimited.unsafeRetries,
+    },
+    {
+      measure: `${measure}.answered-half-down`,
+      value: run.answered / run.firstTries,
+      unit: 'share of requests',
+      baseline: unlimited.answered / unlimited.firstTries,
+    },
+    {
+      measure: `${measure}.tries-wasted-half-down`,
+      value: run.wasted / run.firstTries,
+      unit: 'tries at targets that are down, for each request',
+      baseline: unlimited.wasted / unlimited.firstTries,
+    },
+    {
+      measure: `${measure}.ejected-share`,
+      value: run.ejectedShare,
+      unit: 'share of the targets',
+      bound: MAX_EJECTED_SHARE,
+    },
+  ]
+}
