Tell true verdicts and pass on whole answers only

Cause: a reset of an answer without a length passed for its end; a stream that ended without its end marker or was cut could not go on; a non-idempotent call could go into a kept connection that was already closing; one silent connection left the others of its age in use and a lone target was not tried again. Excluded: replaying idempotent streams on another target, since its text need not be the same; hedging, since it runs requests twice. Change: attempts carry how far they came and verdicts combine in core; event streams are assembled from whole numbered events, resumed at the exact number on the run's own engine, else broken off visibly; deadlines and leaving callers cancel upstream; non-idempotent requests use a connection of their own; a silent connection condemns those opened before it; an unasked byte on an idle connection closes it; only routers set x-auburnbay headers. Each of these mechanisms was taken out in turn and its test failed: run identity on resume, own connection, retry on the same target after a kept connection, reset of an answer without a length, cancelling at the engine.

--- /dev/null
+++ b/packages/core/src/node/stream/createStreamAssembler.ts
@@ -0,0 +1,99 @@
+import { createParser, type EventSourceMessage } from 'eventsource-parser'
+import { StreamFault } from './streamFault.js'
+
+/** Characters that one unfinished event may hold. */
+export const MAX_EVENT_CHARS = 4 * 1024 * 1024
+
+const END_MARKER = '[DONE]'
+const EVENT_NUMBER = /^(0|[1-9]\d{0,14})$/
+
+/** Joins the pieces of an event stream that arrive over several connections. */
+export interface StreamAssembler {
+  /** Takes in text of the current connection; returns the whole events to pass on. */
+  push(text: string): string
+  /** Starts on the next connection: forgets the unfinished event. */
+  resume(): void
+  /** Number of the event to resume from; undefined where that is not possible. */
+  readonly nextNumber: number | undefined
+  /** Whether the end marker has come. */
+  readonly done: boolean
+  readonly fault: StreamFault | undefined
+}
+
+function numberOf(event: EventSourceMessage): number | undefined {
+  const id = event.id ?? ''
+  return EVENT_NUMBER.test(id) ? Number(id) : undefined
+}
+
+function format(message: EventSourceMessage): string {
+  const { id, event, data } = message
+  const lines = data.split('\n').map((line) => `data: ${line}\n`)
+  if (event !== undefined) lines.unshift(`event: ${event}\n`)
+  if (id !== undefined) lines.unshift(`id: ${id}\n`)
+  return `${lines.join('')}\n`
+}
+
+/** Creates an assembler; events number from 0 where the engine can resume. */
+export function createStreamAssembler(): StreamAssembler {
+  let output = ''
+  let expected = 0
+  let numbered = true
+  let resumed = false
+  let done = false
+  let fault: StreamFault | undefined
+
+  function accepts(event: EventSourceMessage): boolean {
+    const number = numberOf(event)
+    if (!resumed) {
+      numbered &&= number === expected
+      return true
+    }
+    if (number === undefined) fault = StreamFault.Unnumbered
+    else if (number > expected) fault = StreamFault.Gap
+    return number === expected
+  }
+
+  function onEvent(event: EventSourceMessage): void {
+    if (done || fault !== undefined) return
+    if (!accepts(event)) return
+    expected += 1
+    output += format(event)
+    done = event.data === END_MARKER
+  }
+
+  function createConnectionParser() {
+    return createParser({
+      onEvent,
+      onComment: (comment) => {
+        if (!done && fault === undefined) output += `:${comment}\n\n`
+      },
+      onError: (error) => {
+        if (error.type === 'max-buffer-size-exceeded')
+          fault ??= StreamFault.EventTooLarge
+      },
+      maxBufferSize: MAX_EVENT_CHARS,
+    })
+  }
+
+  let parser = createConnectionParser()
+  return {
+    push: (text) => {
+      output = ''
+      if (fault === undefined) parser.feed(text)
+      return output
+    },
+    resume: () => {
+      resumed = true
+      parser = createConnectionParser()
+    },
+    get nextNumber() {
+      return numbered ? expected : undefined
+    },
+    get done() {
+      return done
+    },
+    get fault() {
+      return fault
+    },
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/node/callers/__tests__/wholeAnswers.test.ts
@@ -0,0 +1,177 @@
+import assert from 'node:assert/strict'
+import { request } from 'node:http'
+import { after, afterEach, before, describe, it } from 'node:test'
+import { TARGET_HEADER, VERDICT_HEADER } from '@auburnbay/core'
+import { type EngineRun, streamText } from '@auburnbay/stand-ins'
+import {
+  callApi,
+  type CallerAnswer,
+  callChat,
+} from '../../__tests__/callApi.js'
+import {
+  eventually,
+  type Fleet,
+  startFleet,
+} from '../../__tests__/startFleet.js'
+
+describe('the answer of an engine', () => {
+  let fleet: Fleet
+
+  before(async () => {
+    fleet = await startFleet({
+      engines: 1,
+      settings: {
+        targets: {
+          connectTimeoutMs: 500,
+          firstByteTimeoutMs: 200,
+          idleTimeoutMs: 100,
+        },
+      },
+    })
+  })
+
+  after(() => fleet.stop())
+
+  afterEach(() => {
+    engine().script.length = 0
+  })
+
+  function engine() {
+    const [only] = fleet.engines
+    assert.ok(only)
+    return only
+  }
+
+  function lastRun(): EngineRun {
+    const run = engine().runs.at(-1)
+    assert.ok(run)
+    return run
+  }
+
+  function call(headers: Record<string, string> = {}): Promise<CallerAnswer> {
+    return callChat(fleet.callerUrl(), fleet.callerKey, 'chat-1', headers)
+  }
+
+  function assertWhole(answer: CallerAnswer): void {
+    assert.equal(answer.status, 200)
+    assert.ok(answer.whole)
+    assert.equal(answer.text, streamText(lastRun()))
+  }
+
+  it('is resumed where the stream is cut at any byte', async () => {
+    await call()
+    const { length } = streamText(lastRun())
+    for (let bytes = 0; bytes < length; bytes += 23) {
+      engine().script.push({ cutAfterBytes: bytes })
+      assertWhole(await call())
+    }
+  })
+
+  it('is resumed where it is cut twice and then goes silent', async () => {
+    const ran = engine().runs.length
+    engine().script.push(
+      { cutAfterEvents: 3 },
+      { cutAfterBytes: 150 },
+      { silentAfterEvents: 2 },
+    )
+    assertWhole(await call())
+    assert.equal(engine().runs.length, ran + 1)
+  })
+
+  it('is resumed where it ends without its end marker', async () => {
+    engine().script.push({ withholdEnd: true })
+    assertWhole(await call())
+  })
+
+  it('ends visibly broken where the engine has forgotten the run', async () => {
+    engine().script.push({ cutAfterEvents: 2 }, { forgetRuns: true })
+    engine().script.push({ forgetRuns: true }, { forgetRuns: true })
+    engine().script.push({ forgetRuns: true })
+    const answer = await call()
+    assert.equal(answer.whole, false)
+    assert.ok(streamText(lastRun()).startsWith(answer.text))
+  })
+
+  it('ends visibly broken rather than go on with the stream of another run', async () => {
+    engine().script.push({ cutAfterEvents: 2 })
+    for (let tries = 0; tries < 4; tries += 1)
+      engine().script.push({ crossAnswers: true })
+    const answer = await call()
+    assert.equal(answer.whole, false)
+    assert.ok(streamText(lastRun()).startsWith(answer.text))
+  })
+
+  it('is not passed on where it belongs to another request', async () => {
+    engine().script.push({ crossAnswers: true })
+    const answer = await call({ 'x-auburnbay-idempotent': 'false' })
+    assert.equal(answer.status, 502)
+    assert.equal(answer.headers[VERDICT_HEADER], 'may-have-run')
+    assert.doesNotMatch(answer.text, /#0/)
+  })
+
+  it('comes over a new connection where the kept ones went silent', async () => {
+    assertWhole(await call())
+    engine().silenceConnections()
+    const answer = await call()
+    assertWhole(answer)
+    assert.equal(answer.headers[TARGET_HEADER], 'engine-1')
+  })
+
+  it('is cut visibly where a body with a length is cut', async () => {
+    engine().script.push({ cutAfterBytes: 40 })
+    const answer = await callApi({
+      url: `${fleet.callerUrl()}/v1/chat/completions`,
+      method: 'POST',
+      headers: { authorization: `Bearer ${fleet.callerKey}` },
+      body: JSON.stringify({
+        model: 'briefing',
+        messages: [{ role: 'user', content: 'whole' }],
+      }),
+    })
+    assert.equal(answer.status, 200)
+    assert.equal(answer.whole, false)
+  })
+
+  it('is cancelled at the engine when the deadline passes', async () => {
+    engine().script.push({ silentAfterEvents: 2 }, { silent: true })
+    const answer = await call({ 'x-auburnbay-deadline-ms': '60' })
+    assert.equal(answer.whole, false)
+  })
+
+  it('is refused as not run when its deadline has passed', async () => {
+    const ran = engine().runs.length
+    const answer = await call({ 'x-auburnbay-deadline-ms': '0' })
+    assert.equal(answer.status, 504)
+    assert.equal(answer.headers[VERDICT_HEADER], 'not-run')
+    assert.equal(engine().runs.length, ran)
+  })
+})
+
+describe('a stream whose caller goes away', () => {
+  it('is cancelled at the engine', async () => {
+    const fleet = await startFleet({
+      engines: 1,
+      engine: { wordDelayMs: 20, words: 500 },
+    })
+    const body = JSON.stringify({
+      model: 'briefing',
+      stream: true,
+      messages: [{ role: 'user', content: 'long' }],
+    })
+    const req = request(`${fleet.callerUrl()}/v1/chat/completions`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${fleet.callerKey}` },
+    })
+    req.on('error', () => undefined)
+    req.on('response', (res) => {
+      res.once('data', () => {
+        req.destroy()
+      })
+    })
+    req.end(body)
+    const run = () => fleet.engines[0]?.runs[0]
+    await eventually(() => run()?.cancelled ?? false)
+    assert.equal(run()?.finished, false)
+    await fleet.stop()
+  })
+})
--- a/packages/daemon/src/node/callers/createAttempt.ts
+++ b/packages/daemon/src/node/callers/createAttempt.ts
@@ -16,9 +16,11 @@
 /** Places a request on a target and sends it there once. */
 export type AttemptOnce = (
   request: RoutedRequest,
-  /** Targets not to choose; the one chosen is added. */
+  /** Targets not to choose; one that fails is added. */
   exclude: Set<string>,
   parent: Context,
+  /** Whether an earlier attempt has failed. */
+  again: boolean,
 ) => Promise<Result<Attempt, RequestFailure>>
 
 /** What one attempt works with. */
@@ -32,20 +34,23 @@
 export function createAttempt(options: AttemptOptions): AttemptOnce {
   const { routing, targets, tracing } = options
 
-  return async (request, exclude, parent) => {
+  return async (request, exclude, parent, again) => {
     const deciding = tracing.start(Hop.Decide, parent)
     const placed = await routing.place(request, exclude)
     deciding.end(placed.isErr() ? placed.error.message : undefined)
     if (placed.isErr()) return err(placed.error)
     const placement = placed.value
-    exclude.add(placement.target.id)
     const sending = tracing.start(Hop.Target, parent, {
       target: placement.target.id,
     })
     const headers = tracing.inject(sending.context)
-    const sent = await targets.send(placement.target, request, headers)
+    const sent = await targets.send(placement.target, request, headers, {
+      newConnection: again,
+    })
     if (sent.isErr()) {
       placement.release()
+      // A connection that was kept too long says nothing against its target.
+      if (!sent.error.reusedConnection) exclude.add(placement.target.id)
       sending.end(sent.error.message)
       return err(sent.error)
     }
--- a/packages/daemon/src/node/callers/createDispatcher.ts
+++ b/packages/daemon/src/node/callers/createDispatcher.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from 'node:http'
 import type { Context } from '@opentelemetry/api'
-import { type RequestFailure, Verdict } from '@auburnbay/core'
+import { combineVerdicts, type RequestFailure, Verdict } from '@auburnbay/core'
 import { err, ok, type Result } from 'neverthrow'
 import type { Admission } from '../admission/admission.js'
 import type { Metrics } from '../metrics/metrics.js'
@@ -8,7 +8,8 @@
 import type { TargetClient } from '../targets/targetClient.js'
 import { Hop, type Tracing } from '../tracing/createTracing.js'
 import { type Attempt, createAttempt } from './createAttempt.js'
-import { relayReply } from './relayReply.js'
+import { createRelay } from './createRelay.js'
+import { limitToDeadline } from './limitToDeadline.js'
 import type { RoutedRequest } from './routedRequest.js'
 
 /** The parts that a request passes through. */
@@ -42,44 +43,57 @@
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { admission, tracing, metrics } = options
   const tryOnce = createAttempt(options)
+  const relay = createRelay(options)
 
   async function attempt(
     request: RoutedRequest,
     parent: Context,
   ): Promise<Result<Attempt, RequestFailure>> {
     const exclude = new Set<string>()
-    let mayHaveRun = false
+    let verdict = Verdict.NotRun
     for (let tries = 1; ; tries += 1) {
-      const result = await tryOnce(request, exclude, parent)
+      const result = await tryOnce(request, exclude, parent, tries > 1)
       if (result.isOk()) return result
-      mayHaveRun ||= result.error.verdict !== Verdict.NotRun
+      verdict = combineVerdicts(verdict, result.error.verdict)
       if (tries < MAX_TRIES && mayRetry(request, result.error)) {
         metrics.count('retries', 1, { service: request.service })
         continue
       }
-      const verdict = mayHaveRun ? Verdict.MayHaveRun : result.error.verdict
       return err({ ...result.error, verdict })
     }
   }
 
+  async function dispatchInTime(
+    request: RoutedRequest,
+    res: ServerResponse,
+    parent: Context,
+  ): Promise<Result<void, RequestFailure>> {
+    const queueing = tracing.start(Hop.Queue, parent, { rank: request.rank })
+    const admitted = await admission.enter(request)
+    queueing.end(admitted.isErr() ? admitted.error.message : undefined)
+    if (admitted.isErr()) return err(admitted.error)
+    try {
+      const result = await attempt(request, parent)
+      if (result.isErr()) return err(result.error)
+      const { placement, reply } = result.value
+      try {
+        await relay({ request, res, placement, reply, parent })
+      } finally {
+        placement.release()
+      }
+      return ok(undefined)
+    } finally {
+      admitted.value.release()
+    }
+  }
+
   return {
-    async dispatch(request, res, parent) {
-      const queueing = tracing.start(Hop.Queue, parent, { rank: request.rank })
-      const admitted = await admission.enter(request)
-      queueing.end(admitted.isErr() ? admitted.error.message : undefined)
-      if (admitted.isErr()) return err(admitted.error)
+    async dispatch(original, res, parent) {
+      const limited = limitToDeadline(original)
       try {
-        const result = await attempt(request, parent)
-        if (result.isErr()) return err(result.error)
-        const { placement, reply } = result.value
-        try {
-          await relayReply(res, placement, reply)
-        } finally {
-          placement.release()
-        }
-        return ok(undefined)
+        return await dispatchInTime(limited.request, res, parent)
       } finally {
-        admitted.value.release()
+        limited.release()
       }
     },
   }
--- a/packages/daemon/src/node/callers/relayReply.ts
+++ b/packages/daemon/src/node/callers/writeReplyHead.ts
@@ -1,5 +1,4 @@
 import type { ServerResponse } from 'node:http'
-import { pipeline } from 'node:stream/promises'
 import {
   CACHE_HEADER,
   HINT_HEADER,
@@ -13,21 +12,23 @@
 
 const ENGINE_CACHE_HEADER = 'x-engine-cache'
 
-/** Passes a target's answer on; rejects and breaks the answer when it is cut. */
-export async function relayReply(
+/** Passes the head of a target's answer on. */
+export function writeReplyHead(
   res: ServerResponse,
   placement: Placement,
   reply: TargetReply,
-): Promise<void> {
+  isEventStream: boolean,
+): void {
   const cache = reply.headers[ENGINE_CACHE_HEADER]
+  const headers = headersToCaller(reply.headers)
+  // A resumed stream need not have the length that its first part announced.
+  if (isEventStream) delete headers['content-length']
   res.writeHead(reply.status, {
-    ...headersToCaller(reply.headers),
+    ...headers,
     [TARGET_HEADER]: placement.target.id,
     [VERDICT_HEADER]: Verdict.Ran,
     ...(cache === undefined ? {} : { [CACHE_HEADER]: cache }),
     ...(placement.hint === undefined ? {} : { [HINT_HEADER]: placement.hint }),
   })
   res.flushHeaders()
-  // A cut answer destroys the response, so that it never ends cleanly.
-  await pipeline(reply.body, res)
 }
--- /dev/null
+++ b/packages/daemon/src/node/callers/writeToCaller.ts
@@ -0,0 +1,23 @@
+import type { ServerResponse } from 'node:http'
+
+/** Writes to a caller; resolves once there is room for more. */
+export function writeToCaller(
+  res: ServerResponse,
+  chunk: Buffer | string,
+): Promise<void> {
+  if (res.destroyed)
+    return Promise.reject(new Error('the caller has gone away'))
+  if (chunk.length === 0 || res.write(chunk)) return Promise.resolve()
+  return new Promise((resolve, reject) => {
+    const onDrain = (): void => {
+      res.off('close', onClose)
+      resolve()
+    }
+    const onClose = (): void => {
+      res.off('drain', onDrain)
+      reject(new Error('the caller has gone away'))
+    }
+    res.once('drain', onDrain)
+    res.once('close', onClose)
+  })
+}
--- a/packages/daemon/src/node/settings/settingsSchema.ts
+++ b/packages/daemon/src/node/settings/settingsSchema.ts
@@ -68,6 +68,8 @@
       firstByteTimeoutMs: positiveMs.default(30_000),
       /** Milliseconds between two bytes of an answer. @default 10000 */
       idleTimeoutMs: positiveMs.default(10_000),
+      /** Milliseconds that a connection is kept without a request. @default 4000 */
+      pooledIdleMs: positiveMs.default(4_000),
       /** Milliseconds between two load reports. @default 500 */
       reportMs: positiveMs.default(500),
     })
--- a/packages/daemon/src/node/targets/createTargetClient.ts
+++ b/packages/daemon/src/node/targets/createTargetClient.ts
@@ -1,113 +1,181 @@
-import { Agent, type ClientRequest, request } from 'node:http'
 import {
+  Agent,
+  type IncomingMessage,
+  type OutgoingHttpHeaders,
+} from 'node:http'
+import {
+  AttemptProgress,
   FailureCode,
   REQUEST_ID_HEADER,
-  type RequestFailure,
-  Verdict,
+  ServiceKind,
+  verdictOfAttempt,
 } from '@auburnbay/core'
+import { requestJson } from '@auburnbay/http-utils'
 import { err, ok, type Result } from 'neverthrow'
 import { createFailure } from '../callers/createFailure.js'
 import type { RoutedRequest } from '../callers/routedRequest.js'
 import type { ResolvedSettings } from '../settings/settingsSchema.js'
+import { ConnectionPool } from './connectionPool.js'
+import { CANCEL_TIMEOUT_MS } from './constants.js'
+import {
+  exchange,
+  type ExchangeCall,
+  ExchangeError,
+  type ExchangeFailure,
+} from './exchange.js'
 import { headersToTarget } from './forwardedHeaders.js'
+import { readInTime } from './readInTime.js'
+import { createReplyIdentity, runIdOf } from './replyIdentity.js'
 import type { TargetAddress, TargetClient } from './targetClient.js'
+import type { TargetFailure } from './targetFailure.js'
 import type { TargetReply } from './targetReply.js'
 
-const REFUSED_HEADER = 'x-refused'
-const REFUSED_BEFORE_RUNNING = 'before-running'
+const EMPTY_BODY = Buffer.alloc(0)
 
-function openRequest(
-  agent: Agent,
-  target: TargetAddress,
+const CODES: Readonly<Record<ExchangeError, FailureCode>> = {
+  [ExchangeError.Broken]: FailureCode.TargetUnreachable,
+  [ExchangeError.Silent]: FailureCode.TargetTimeout,
+  [ExchangeError.Aborted]: FailureCode.DeadlinePassed,
+}
+
+function requestHeaders(
   routed: RoutedRequest,
   traceHeaders: Record<string, string>,
-): ClientRequest {
-  return request(`http://${target.address}${routed.path}`, {
-    agent,
-    method: routed.method,
-    signal: routed.signal,
-    headers: {
-      ...headersToTarget(routed.headers),
-      ...traceHeaders,
-      [REQUEST_ID_HEADER]: routed.id,
-      'content-length': routed.body.length,
-    },
-  })
+): OutgoingHttpHeaders {
+  return {
+    ...headersToTarget(routed.headers),
+    // An encoded stream could not be checked for its end.
+    ...(routed.serviceKind === ServiceKind.Model
+      ? { 'accept-encoding': 'identity' }
+      : {}),
+    ...traceHeaders,
+    [REQUEST_ID_HEADER]: routed.id,
+    'content-length': routed.body.length,
+  }
 }
 
-function checkReply(
-  routed: RoutedRequest,
-  reply: TargetReply,
-): Result<TargetReply, RequestFailure> {
-  const echoed = reply.headers[REQUEST_ID_HEADER]
-  if (reply.headers[REFUSED_HEADER] === REFUSED_BEFORE_RUNNING) {
-    reply.body.destroy()
-    const message = 'the target refused the request before running it'
-    return err(createFailure(FailureCode.TargetFailed, message))
+function describeFailure(
+  target: TargetAddress,
+  failure: ExchangeFailure,
+): TargetFailure {
+  const verdict = verdictOfAttempt(failure.progress)
+  const message = `${target.id}: ${failure.message}`
+  const { reusedConnection } = failure
+  return {
+    ...createFailure(CODES[failure.error], message, verdict),
+    reusedConnection,
   }
-  if (echoed === undefined || echoed === routed.id) return ok(reply)
-  reply.body.destroy()
-  const message = 'the target answered another request'
-  return err(
-    createFailure(FailureCode.TargetFailed, message, Verdict.MayHaveRun),
-  )
 }
 
 /** Creates the client for requests to targets. */
 export function createTargetClient(
   settings: ResolvedSettings['targets'],
 ): TargetClient {
-  const agent = new Agent({ keepAlive: true })
+  const pool = new ConnectionPool(settings.pooledIdleMs)
+  // Without keepAlive every request opens a connection of its own.
+  const unpooled = new Agent({ keepAlive: false })
+  const identity = createReplyIdentity()
 
-  function send(
+  function createReply(
     target: TargetAddress,
-    routed: RoutedRequest,
-    traceHeaders: Record<string, string>,
-  ): Promise<Result<TargetReply, RequestFailure>> {
-    return new Promise((resolve) => {
-      let written = false
-      const req = openRequest(agent, target, routed, traceHeaders)
-      const connectTimer = setTimeout(() => {
-        req.destroy(new Error('connecting took too long'))
-      }, settings.connectTimeoutMs)
-      req.setTimeout(settings.firstByteTimeoutMs, () => {
-        req.destroy(new Error('the target sent nothing'))
-      })
-      req.once('socket', (socket) => {
-        const connected = (): void => {
-          clearTimeout(connectTimer)
-          written = true
-          req.end(routed.body)
-        }
-        if (socket.connecting) socket.once('connect', connected)
-        else connected()
-      })
-      req.once('error', (error) => {
-        clearTimeout(connectTimer)
-        const verdict = written ? Verdict.MayHaveRun : Verdict.NotRun
-        const message = `${target.id}: ${error.message}`
-        resolve(
-          err(createFailure(FailureCode.TargetUnreachable, message, verdict)),
-        )
-      })
-      req.once('response', (res) => {
-        res.setTimeout(settings.idleTimeoutMs, () => {
-          res.destroy(new Error('the target went silent'))
-        })
-        const reply = {
-          status: res.statusCode ?? 0,
-          headers: res.headers,
-          body: res,
-        }
-        resolve(checkReply(routed, reply))
-      })
+    body: IncomingMessage,
+  ): TargetReply {
+    return {
+      status: body.statusCode ?? 0,
+      headers: body.headers,
+      body,
+      chunks: () =>
+        readInTime(body, settings.idleTimeoutMs, () => {
+          pool.condemn(target.address)
+        }),
+    }
+  }
+
+  async function call(
+    target: TargetAddress,
+    options: Omit<ExchangeCall, 'url' | 'limits'> & { path: string },
+  ): Promise<Result<IncomingMessage, TargetFailure>> {
+    const result = await exchange({
+      ...options,
+      url: `http://${target.address}${options.path}`,
+      limits: settings,
+      onSocket: (socket) => {
+        pool.note(socket, target.address)
+      },
     })
+    if (result.isOk()) return ok(result.value)
+    const { error, progress } = result.error
+    if (error === ExchangeError.Silent && progress === AttemptProgress.Written)
+      pool.condemn(target.address)
+    return err(describeFailure(target, result.error))
+  }
+
+  function refuse(
+    target: TargetAddress,
+    body: IncomingMessage,
+    progress: AttemptProgress,
+    reason: string,
+  ): Result<never, TargetFailure> {
+    // A refusal's connection is in order; any other answer's is not.
+    if (progress === AttemptProgress.Refused) body.resume()
+    else body.destroy()
+    const { TargetFailed } = FailureCode
+    const message = `${target.id}: ${reason}`
+    const verdict = verdictOfAttempt(progress)
+    const failure = createFailure(TargetFailed, message, verdict)
+    return err({ ...failure, reusedConnection: false })
   }
 
   return {
-    send,
+    async send(target, routed, traceHeaders, options = {}) {
+      // A kept connection may close while a request is on its way into it.
+      const alone = !routed.idempotent || options.newConnection === true
+      const result = await call(target, {
+        agent: alone ? unpooled : pool,
+        method: routed.method,
+        path: routed.path,
+        headers: requestHeaders(routed, traceHeaders),
+        body: routed.body,
+        signal: routed.signal,
+      })
+      if (result.isErr()) return err(result.error)
+      const body = result.value
+      const rejected = identity.check(target.id, routed, body)
+      if (!rejected) return ok(createReply(target, body))
+      return refuse(target, body, rejected.progress, rejected.message)
+    },
+
+    async resume(target, routed, { runId, from }, traceHeaders) {
+      const result = await call(target, {
+        agent: unpooled,
+        method: 'GET',
+        path: `/v1/runs/${encodeURIComponent(runId)}/stream?from=${from}`,
+        headers: { ...traceHeaders, [REQUEST_ID_HEADER]: routed.id },
+        body: EMPTY_BODY,
+        signal: routed.signal,
+      })
+      if (result.isErr()) return err(result.error)
+      const body = result.value
+      const { Written } = AttemptProgress
+      if (body.statusCode !== 200)
+        return refuse(target, body, Written, 'the run cannot be resumed')
+      if (runIdOf(body) !== runId)
+        return refuse(target, body, Written, 'the target resumed another run')
+      return ok(createReply(target, body))
+    },
+
+    cancel(target, runId) {
+      void requestJson({
+        method: 'DELETE',
+        url: `http://${target.address}/v1/runs/${encodeURIComponent(runId)}`,
+        timeoutMs: CANCEL_TIMEOUT_MS,
+        agent: unpooled,
+      })
+    },
+
     close: () => {
-      agent.destroy()
+      pool.destroy()
+      unpooled.destroy()
     },
   }
 }
--- a/packages/daemon/src/node/targets/forwardedHeaders.ts
+++ b/packages/daemon/src/node/targets/forwardedHeaders.ts
@@ -12,6 +12,8 @@
   'upgrade',
 ])
 
+const OWN_HEADER_PREFIX = 'x-auburnbay-'
+
 const NEVER_TO_TARGETS = new Set([
   'authorization',
   'host',
@@ -50,6 +52,8 @@
   const kept: OutgoingHttpHeaders = {}
   for (const [name, value] of Object.entries(headers)) {
     if (HOP_BY_HOP.has(name) || named.has(name)) continue
+    // Only routers say what these headers say.
+    if (name.startsWith(OWN_HEADER_PREFIX)) continue
     kept[name] = value
   }
   return kept
--- a/packages/daemon/src/node/targets/targetReply.ts
+++ b/packages/daemon/src/node/targets/targetReply.ts
@@ -4,5 +4,7 @@
 export interface TargetReply {
   readonly status: number
   readonly headers: IncomingHttpHeaders
+  /** Yields the body; throws when it is cut or silent beyond the limit. */
+  chunks(): AsyncGenerator<Buffer, void, void>
   readonly body: IncomingMessage
 }
--- a/packages/stand-ins/src/node/constants.ts
+++ b/packages/stand-ins/src/node/constants.ts
@@ -6,3 +6,5 @@
 export const DEFAULT_ENGINE_WORDS = 12
 /** Chats whose prompt prefix an engine's cache holds. */
 export const DEFAULT_CACHE_CHATS = 64
+/** Runs whose streams an engine can resume. */
+export const DEFAULT_KEPT_RUNS = 1024
--- a/packages/stand-ins/src/node/engine/createEngine.ts
+++ b/packages/stand-ins/src/node/engine/createEngine.ts
@@ -1,12 +1,19 @@
 import { randomUUID } from 'node:crypto'
+import { EventEmitter } from 'node:events'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { type ListenAddress, sendJson } from '@auburnbay/http-utils'
 import { LRUCache } from 'lru-cache'
-import { DEFAULT_CACHE_CHATS, DEFAULT_ENGINE_WORDS } from '../constants.js'
+import {
+  DEFAULT_CACHE_CHATS,
+  DEFAULT_ENGINE_WORDS,
+  DEFAULT_KEPT_RUNS,
+} from '../constants.js'
 import { createStandIn, type StandInRequest } from '../server/createStandIn.js'
 import type { StandIn } from '../server/standIn.js'
 import { createEngineFaults, type EngineFaults } from './engineFaults.js'
 import type { EngineRun } from './engineRun.js'
+import { generate } from './generate.js'
+import { writeStream } from './writeStream.js'
 
 /** How an engine's stand-in behaves. */
 export interface EngineOptions {
@@ -21,6 +28,8 @@
 /** A model engine's stand-in. */
 export interface EngineStandIn extends StandIn {
   readonly faults: EngineFaults
+  /** Switches on top of `faults` for the next requests, one entry each. */
+  readonly script: Partial<EngineFaults>[]
   /** What truly ran, in order. */
   readonly runs: readonly EngineRun[]
   readonly options: Required<EngineOptions>
@@ -31,6 +40,10 @@
   readonly messages?: { readonly content: string }[]
 }
 
+const CHAT_PATH = '/v1/chat/completions'
+const RUN_STREAM_PATH = /^\/v1\/runs\/([\w-]+)\/stream$/
+const RUN_PATH = /^\/v1\/runs\/([\w-]+)$/
+
 /** The words an engine answers with; the prompt alone decides them. */
 export function answerWords(body: ChatBody, words: number): string[] {
   const prompt = body.messages?.at(-1)?.content ?? ''
@@ -51,7 +64,11 @@
     words: options.words ?? DEFAULT_ENGINE_WORDS,
   }
   const faults = createEngineFaults()
+  const script: Partial<EngineFaults>[] = []
+  const taken = new WeakMap<object, EngineFaults>()
   const runs: EngineRun[] = []
+  const kept = new LRUCache<string, EngineRun>({ max: DEFAULT_KEPT_RUNS })
+  const progressOf = new WeakMap<EngineRun, EventEmitter>()
   const cache = new LRUCache<string, true>({ max: resolved.cacheChats })
   let inFlight = 0
 
@@ -64,17 +81,27 @@
       idempotencyKey: headers['idempotency-key'] as string | undefined,
       chat,
       cacheHit: cache.get(chat) ?? false,
+      words: answerWords((call.body ?? {}), resolved.words),
+      events: [],
       finished: false,
+      cancelled: false,
     }
     if (chat !== '') cache.set(chat, true)
     runs.push(run)
+    kept.set(run.runId, run)
+    const progress = new EventEmitter()
+    progressOf.set(run, progress)
+    void generate(run, resolved.wordDelayMs, () => progress.emit('event'))
     return run
   }
 
-  function answerHeaders(run: EngineRun): Record<string, string> {
+  function answerHeaders(
+    run: EngineRun,
+    switches: EngineFaults,
+  ): Record<string, string> {
     return {
-      'x-request-id': faults.crossAnswers ? randomUUID() : run.requestId,
-      'x-run-id': run.runId,
+      'x-request-id': switches.crossAnswers ? randomUUID() : run.requestId,
+      'x-run-id': switches.crossAnswers ? randomUUID() : run.runId,
       'x-engine-cache': run.cacheHit ? 'hit' : 'miss',
     }
   }
@@ -82,81 +109,118 @@
   async function stream(
     call: StandInRequest,
     run: EngineRun,
-    words: string[],
+    from: number,
+    switches: EngineFaults,
   ): Promise<void> {
     const { res } = call
     res.writeHead(200, {
       'content-type': 'text/event-stream',
-      ...answerHeaders(run),
+      ...answerHeaders(run, switches),
     })
-    for (const [index, content] of words.entries()) {
-      if (index === faults.cutAfterEvents) {
-        res.destroy()
-        return
-      }
-      if (resolved.wordDelayMs > 0) await sleep(resolved.wordDelayMs)
-      if (res.destroyed) return
-      const chunk = {
-        id: run.runId,
-        choices: [{ index: 0, delta: { content } }],
-      }
-      res.write(`id: ${index}\ndata: ${JSON.stringify(chunk)}\n\n`)
-    }
-    run.finished = true
-    res.end(`id: ${words.length}\ndata: [DONE]\n\n`)
+    res.flushHeaders()
+    const progress = progressOf.get(run) ?? new EventEmitter()
+    await writeStream({ run, res, from, faults: switches, progress })
   }
 
-  async function complete(call: StandInRequest): Promise<void> {
+  async function answerWhole(
+    call: StandInRequest,
+    run: EngineRun,
+    switches: EngineFaults,
+  ): Promise<void> {
     const { res } = call
-    const body = (call.body ?? {}) as ChatBody
-    if (faults.resetBefore) {
-      res.destroy()
+    while (!run.finished && !res.destroyed) await sleep(1)
+    const message = { role: 'assistant', content: run.words.join('') }
+    const reply = { id: run.runId, choices: [{ index: 0, message }] }
+    const text = JSON.stringify(reply)
+    if (switches.cutAfterBytes < 0) {
+      sendJson(res, 200, reply, answerHeaders(run, switches))
       return
     }
-    if (faults.refuse) {
-      sendJson(
-        res,
-        503,
-        { error: 'refused' },
-        { 'x-refused': 'before-running' },
-      )
+    res.writeHead(200, {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(text),
+      ...answerHeaders(run, switches),
+    })
+    const part = text.slice(0, switches.cutAfterBytes % text.length)
+    res.write(part, () => res.destroy())
+    if (part === '') res.destroy()
+  }
+
+  async function complete(
+    call: StandInRequest,
+    switches: EngineFaults,
+  ): Promise<void> {
+    const { res } = call
+    if (switches.refuse) {
+      const headers = { 'x-refused': 'before-running' }
+      sendJson(res, 503, { error: 'refused' }, headers)
       return
     }
     const run = startRun(call)
-    if (faults.silent) return
-    if (faults.resetAfter) {
-      run.finished = true
+    if (switches.silent) return
+    if (switches.resetAfter) {
       res.destroy()
       return
     }
-    if (faults.delayMs > 0) await sleep(faults.delayMs)
-    const words = answerWords(body, resolved.words)
-    if (body.stream) {
-      await stream(call, run, words)
-      return
+    if (switches.delayMs > 0) await sleep(switches.delayMs)
+    if (res.destroyed) run.cancelled = true
+    if ((call.body as ChatBody | undefined)?.stream)
+      await stream(call, run, 0, switches)
+    else await answerWhole(call, run, switches)
+  }
+
+  async function resume(
+    call: StandInRequest,
+    runId: string,
+    switches: EngineFaults,
+  ): Promise<void> {
+    const { res, url } = call
+    const run = switches.forgetRuns ? undefined : kept.get(runId)
+    if (!run) sendJson(res, 404, { error: 'unknown run' })
+    else if (switches.silent) return
+    else {
+      if (switches.delayMs > 0) await sleep(switches.delayMs)
+      const from = Number(url.searchParams.get('from') ?? 0)
+      await stream(call, run, from, switches)
     }
-    run.finished = true
-    const message = { role: 'assistant', content: words.join('') }
-    const reply = { id: run.runId, choices: [{ index: 0, message }] }
-    sendJson(res, 200, reply, answerHeaders(run))
+  }
+
+  function cancel(call: StandInRequest, runId: string): void {
+    const run = kept.get(runId)
+    if (run && !run.finished) run.cancelled = true
+    sendJson(call.res, run ? 200 : 404, {})
   }
 
   async function handle(call: StandInRequest): Promise<void> {
-    const { method, url, res } = call
+    const { method, url, res, req } = call
+    const switches = taken.get(req) ?? faults
+    const runOfStream = RUN_STREAM_PATH.exec(url.pathname)?.[1]
+    const runOfPath = RUN_PATH.exec(url.pathname)?.[1]
     if (method === 'PUT' && url.pathname === '/faults') {
       Object.assign(faults, call.body)
       sendJson(res, 200, faults)
     } else if (url.pathname === '/load') sendJson(res, 200, { inFlight })
     else if (url.pathname === '/runs') sendJson(res, 200, runs)
-    else if (url.pathname === '/v1/chat/completions') {
+    else if (runOfStream !== undefined)
+      await resume(call, runOfStream, switches)
+    else if (runOfPath !== undefined && method === 'DELETE')
+      cancel(call, runOfPath)
+    else if (url.pathname === CHAT_PATH) {
       inFlight += 1
       res.once('close', () => {
         inFlight -= 1
       })
-      await complete(call)
+      await complete(call, switches)
     } else sendJson(res, 404, { error: 'unknown path' })
   }
 
-  const standIn = await createStandIn(handle, address)
-  return { ...standIn, faults, runs, options: resolved }
+  const standIn = await createStandIn(handle, address, (req) => {
+    const path = (req.url ?? '').split('?')[0] ?? ''
+    if (path !== CHAT_PATH && !RUN_STREAM_PATH.test(path)) return true
+    const switches = { ...faults, ...script.shift() }
+    taken.set(req, switches)
+    if (switches.resetBefore) req.socket.destroy()
+    return !switches.resetBefore
+  })
+  return { ...standIn, faults, script, runs, options: resolved }
 }
--- a/packages/stand-ins/src/node/engine/engineRun.ts
+++ b/packages/stand-ins/src/node/engine/engineRun.ts
@@ -5,5 +5,32 @@
   readonly idempotencyKey?: string
   readonly chat: string
   readonly cacheHit: boolean
+  /** The words of the answer. */
+  readonly words: readonly string[]
+  /** Events generated so far, as sent. */
+  readonly events: string[]
   finished: boolean
+  /** Whether a caller cancelled it before its end. */
+  cancelled: boolean
+}
+
+/** Returns the whole answer of a run as an event stream. */
+export function streamText(run: EngineRun): string {
+  const words = run.words.map((word, index) => wordEvent(run, index, word))
+  return [...words, endEvent(run)].join('')
+}
+
+/** Returns the event that carries one word. */
+export function wordEvent(
+  run: EngineRun,
+  index: number,
+  content: string,
+): string {
+  const chunk = { id: run.runId, choices: [{ index: 0, delta: { content } }] }
+  return `id: ${index}\ndata: ${JSON.stringify(chunk)}\n\n`
+}
+
+/** Returns the event that ends a run's stream. */
+export function endEvent(run: EngineRun): string {
+  return `id: ${run.words.length}\ndata: [DONE]\n\n`
 }
--- a/packages/stand-ins/src/node/server/createStandIn.ts
+++ b/packages/stand-ins/src/node/server/createStandIn.ts
@@ -3,6 +3,7 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http'
+import type { Socket } from 'node:net'
 import {
   formatAddress,
   listen,
@@ -33,6 +34,9 @@
   }
 }
 
+/** Sees a request's head; returns false to take the request no further. */
+export type HeadHandler = (req: IncomingMessage) => boolean
+
 async function serve(
   handler: StandInHandler,
   req: IncomingMessage,
@@ -56,17 +60,31 @@
 export async function createStandIn(
   handler: StandInHandler,
   address: ListenAddress = { host: '127.0.0.1', port: 0 },
+  onHead: HeadHandler = () => true,
 ): Promise<StandIn> {
+  const sockets = new Set<Socket>()
+  const silenced = new WeakSet<Socket>()
   const server = createServer((req, res) => {
+    if (silenced.has(req.socket) || !onHead(req)) return
     serve(handler, req, res).catch((error: unknown) => {
       if (res.headersSent) res.destroy()
       else sendJson(res, 500, { error: String(error) })
     })
   })
+  server.on('connection', (socket) => {
+    sockets.add(socket)
+    socket.once('close', () => sockets.delete(socket))
+  })
   const taken = await listen(server, address)
   return {
     address: taken,
     url: `http://${formatAddress(taken)}`,
+    silenceConnections: () => {
+      for (const socket of sockets) {
+        silenced.add(socket)
+        socket.cork()
+      }
+    },
     close: () =>
       new Promise((resolve) => {
         server.close(() => {
