--- a/packages/daemon/src/node/routing/createRouting.ts
+++ b/packages/daemon/src/node/routing/createRouting.ts
@@ -5,18 +5,22 @@
   loadBound,
   type LoadedTarget,
   MemberState,
+  rendezvousOrder,
   type VmEntry,
 } from '@auburnbay/core'
 import { err, ok } from 'neverthrow'
 import { createFailure } from '../callers/createFailure.js'
 import type { LoadReporter } from '../targets/createLoadReporter.js'
 import type { Placement, Routing, TargetStatus } from './routing.js'
+import { HintSource } from './routingExplanation.js'
 
 /** What the choice of targets works with. */
 export interface RoutingOptions {
   readonly configuration: () => Configuration
   readonly vms: () => readonly VmEntry[]
   readonly reporter: LoadReporter
+  /** Whether a target's health lets a request go there. */
+  readonly eligible: (targetId: string, idempotent: boolean) => boolean
 }
 
 interface RoutedTarget extends LoadedTarget {
@@ -80,12 +84,31 @@
     })
   }
 
+  function explain(service: string, customer: string, chat: string) {
+    const targets = targetsOf(service)
+    const factor = options.configuration().services[service]?.maxLoadFactor ?? 1
+    const bound = loadBound(targets, factor)
+    const candidates = rendezvousOrder(chat, targets).map(({ id, load }) => ({
+      id,
+      load,
+      bound,
+      eligible: options.eligible(id, false),
+    }))
+    const chosen = candidates.find(
+      ({ load, eligible }) => eligible && load + 1 <= bound,
+    )?.id
+    const hintSource = HintSource.None
+    return { service, customer, chat, hintSource, candidates, chosen }
+  }
+
   return {
     status,
+    explain,
     ownInFlight: () => Object.fromEntries(ownInFlight),
     place(request, exclude) {
       const targets = targetsOf(request.service).filter(
-        (target) => !exclude.has(target.id),
+        ({ id }) =>
+          !exclude.has(id) && options.eligible(id, request.idempotent),
       )
       const key = request.chat === '' ? request.id : request.chat
       const factor =
--- a/packages/stand-ins/src/node/engine/createEngine.ts
+++ b/packages/stand-ins/src/node/engine/createEngine.ts
@@ -81,7 +81,7 @@
       idempotencyKey: headers['idempotency-key'] as string | undefined,
       chat,
       cacheHit: cache.get(chat) ?? false,
-      words: answerWords((call.body ?? {}), resolved.words),
+      words: answerWords(call.body ?? {}, resolved.words),
       events: [],
       finished: false,
       cancelled: false,
@@ -91,7 +91,6 @@
     kept.set(run.runId, run)
     const progress = new EventEmitter()
     progressOf.set(run, progress)
-    void generate(run, resolved.wordDelayMs, () => progress.emit('event'))
     return run
   }
 
@@ -157,7 +156,10 @@
       return
     }
     const run = startRun(call)
+    // A silent engine is stuck: its run goes on until the caller leaves.
     if (switches.silent) return
+    const progress = progressOf.get(run)
+    void generate(run, resolved.wordDelayMs, () => progress?.emit('event'))
     if (switches.resetAfter) {
       res.destroy()
       return
