Copy and check only what a patch touches

Cause: applying a patch cloned and validated the whole configuration, a record with a malformed pointer threw and stopped every router at its offset, a patch could reach inherited properties, outcomes grew without a limit, and a replaced or shortened log went unnoticed.

--- a/packages/core/src/node/configuration/__tests__/configurationState.test.ts
+++ b/packages/core/src/node/configuration/__tests__/applyConfigurationRecord.test.ts
@@ -1,10 +1,8 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
-import {
-  applyConfigurationRecord,
-  createConfigurationState,
-} from '../configurationState.js'
+import { applyConfigurationRecord } from '../applyConfigurationRecord.js'
+import { createConfigurationState } from '../configurationState.js'
 import { PatchOutcomeKind } from '../patchOutcome.js'
 
 function patch(patchId: string, baseVersion: number, rank = 1) {
--- /dev/null
+++ b/packages/core/src/node/configuration/applyRecords.ts
@@ -0,0 +1,126 @@
+import { CONFIGURATION_SCHEMA, OUTCOME_WINDOW_RECORDS } from '../constants.js'
+import { hash64 } from '../hash/hash64.js'
+import { ConfigurationProblemKind } from './configurationProblem.js'
+import type { ConfigurationState } from './configurationState.js'
+import { createPatcher, type Patcher } from './createPatcher.js'
+import { type PatchOutcome, PatchOutcomeKind } from './patchOutcome.js'
+import { type PatchRecord, patchRecordSchema } from './patchRecord.js'
+import { schemaOf, schemaRecordSchema } from './schemaRecord.js'
+
+/** A record with its place in the log. */
+export interface PlacedRecord {
+  readonly offset: number
+  readonly value: unknown
+}
+
+/** A state and the outcomes of the records that led to it, in log order. */
+export interface ConfigurationStep {
+  readonly state: ConfigurationState
+  readonly outcomes: readonly PatchOutcome[]
+}
+
+interface Progress {
+  state: ConfigurationState
+  readonly patcher: Patcher
+  readonly known: Map<string, PatchOutcome>
+  readonly outcomes: PatchOutcome[]
+}
+
+/** Returns the hash by which a record is recognised when read again. */
+export function hashRecord(value: unknown): string {
+  return hash64(JSON.stringify(value) ?? '')
+}
+
+function decide(progress: Progress, record: PatchRecord, offset: number) {
+  const { version, schema } = progress.state
+  const base = { patchId: record.patchId, offset, version }
+  if (record.schema < schema) {
+    const reason = `the patch has schema ${record.schema}, but the log needs ${schema}; send it again through an upgraded router`
+    return { ...base, kind: PatchOutcomeKind.Invalid, reason }
+  }
+  if (record.baseVersion !== version) {
+    const reason = `the patch is against version ${record.baseVersion}, but version ${version} is in force`
+    return { ...base, kind: PatchOutcomeKind.Conflict, reason }
+  }
+  const patched = progress.patcher.patch(record.operations)
+  if (patched.isErr())
+    return { ...base, kind: PatchOutcomeKind.Invalid, reason: patched.error }
+  return { ...base, kind: PatchOutcomeKind.Applied, version: version + 1 }
+}
+
+function applyPatchRecord(
+  progress: Progress,
+  record: PatchRecord,
+  offset: number,
+): void {
+  const first = progress.known.get(record.patchId)
+  if (first) {
+    const kind = PatchOutcomeKind.Duplicate
+    progress.outcomes.push({ ...first, kind, offset })
+    return
+  }
+  const outcome: PatchOutcome = decide(progress, record, offset)
+  progress.known.set(record.patchId, outcome)
+  progress.outcomes.push(outcome)
+  if (outcome.kind !== PatchOutcomeKind.Applied) return
+  const { digest } = progress.state
+  const operations = JSON.stringify(record.operations)
+  progress.state = {
+    ...progress.state,
+    version: outcome.version,
+    digest: hash64(`${digest}\n${offset}\n${record.patchId}\n${operations}`),
+  }
+}
+
+// The window is counted in log offsets, so that every router forgets alike.
+function forgetOldOutcomes(progress: Progress, offset: number): void {
+  for (const [patchId, outcome] of progress.known) {
+    if (outcome.offset > offset - OUTCOME_WINDOW_RECORDS) return
+    progress.known.delete(patchId)
+  }
+}
+
+function applyRecord(progress: Progress, record: PlacedRecord): void {
+  const { offset, value } = record
+  forgetOldOutcomes(progress, offset)
+  const patch = patchRecordSchema.safeParse(value)
+  const raised = schemaRecordSchema.safeParse(value)
+  if (patch.success) applyPatchRecord(progress, patch.data, offset)
+  else if (raised.success) {
+    const schema = Math.max(progress.state.schema, raised.data.schema)
+    progress.state = { ...progress.state, schema }
+  }
+  progress.state = {
+    ...progress.state,
+    nextOffset: offset + 1,
+    lastRecord: { offset, hash: hashRecord(value) },
+  }
+}
+
+/** Applies records in log order; stops before one that needs a newer release. */
+export function applyRecords(
+  state: ConfigurationState,
+  records: readonly PlacedRecord[],
+): ConfigurationStep {
+  const progress: Progress = {
+    state,
+    patcher: createPatcher(state.configuration),
+    known: new Map(state.outcomes),
+    outcomes: [],
+  }
+  for (const record of records) {
+    const needed = schemaOf(record.value) ?? 0
+    if (needed > CONFIGURATION_SCHEMA) {
+      const kind = ConfigurationProblemKind.NewerSchema
+      const message = `the record at offset ${record.offset} has schema ${needed}, but this release knows ${CONFIGURATION_SCHEMA}; upgrade this router`
+      progress.state = { ...progress.state, problem: { kind, message } }
+      break
+    }
+    applyRecord(progress, record)
+  }
+  const { configuration } = progress.patcher
+  return {
+    state: { ...progress.state, configuration, outcomes: progress.known },
+    outcomes: progress.outcomes,
+  }
+}
--- a/packages/core/src/node/configuration/configurationState.ts
+++ b/packages/core/src/node/configuration/configurationState.ts
@@ -1,25 +1,33 @@
-import { applyPatch, type Operation } from 'rfc6902'
+import type { ConfigurationProblem } from './configurationProblem.js'
 import {
   type Configuration,
   configurationSchema,
 } from './configurationSchema.js'
-import { type PatchOutcome, PatchOutcomeKind } from './patchOutcome.js'
-import { type PatchRecord, patchRecordSchema } from './patchRecord.js'
+import type { PatchOutcome } from './patchOutcome.js'
+
+/** Identifies the last record that a router has read. */
+export interface RecordMark {
+  readonly offset: number
+  readonly hash: string
+}
 
 /** The configuration in force and what led to it. */
 export interface ConfigurationState {
   readonly version: number
   readonly configuration: Configuration
+  /** Hash over all patches that led to the version. */
+  readonly digest: string
   /** The log offset that is read next. */
   readonly nextOffset: number
-  /** Outcomes by patch id. */
+  /** Outcomes of the newest patches, by patch id. */
   readonly outcomes: ReadonlyMap<string, PatchOutcome>
-}
-
-/** A state and the outcome of the record that led to it. */
-export interface ConfigurationStep {
-  readonly state: ConfigurationState
-  readonly outcome?: PatchOutcome
+  /** Lowest schema version of a valid patch. */
+  readonly schema: number
+  /** Identity of the log that the records came from. */
+  readonly logId?: string
+  readonly lastRecord?: RecordMark
+  /** Set while the router keeps its version for a fault. */
+  readonly problem?: ConfigurationProblem
 }
 
 /** Returns the state before any record was read. */
@@ -27,69 +35,9 @@
   return {
     version: 0,
     configuration: configurationSchema.parse({}),
+    digest: '0',
     nextOffset: 0,
     outcomes: new Map(),
-  }
-}
-
-function decide(
-  state: ConfigurationState,
-  record: PatchRecord,
-  offset: number,
-): { outcome: PatchOutcome; configuration?: Configuration } {
-  const base = { patchId: record.patchId, offset, version: state.version }
-  if (record.baseVersion !== state.version) {
-    const reason = `the patch is against version ${record.baseVersion}, but version ${state.version} is in force`
-    return { outcome: { ...base, kind: PatchOutcomeKind.Conflict, reason } }
-  }
-  const draft: unknown = structuredClone(state.configuration)
-  const errors = applyPatch(draft, record.operations as Operation[])
-  const failed = errors.find((err) => err !== null)
-  if (failed) {
-    const reason = failed.message
-    return { outcome: { ...base, kind: PatchOutcomeKind.Invalid, reason } }
-  }
-  const parsed = configurationSchema.safeParse(draft)
-  if (!parsed.success) {
-    const reason = parsed.error.issues
-      .map((issue) => `/${issue.path.join('/')}: ${issue.message}`)
-      .join('; ')
-    return { outcome: { ...base, kind: PatchOutcomeKind.Invalid, reason } }
-  }
-  return {
-    outcome: {
-      ...base,
-      kind: PatchOutcomeKind.Applied,
-      version: state.version + 1,
-    },
-    configuration: parsed.data,
-  }
-}
-
-/** Applies the log record at `offset`; log order alone decides the outcome. */
-export function applyConfigurationRecord(
-  state: ConfigurationState,
-  value: unknown,
-  offset: number,
-): ConfigurationStep {
-  const next = { ...state, nextOffset: offset + 1 }
-  const parsed = patchRecordSchema.safeParse(value)
-  if (!parsed.success) return { state: next }
-  const record = parsed.data
-  const first = state.outcomes.get(record.patchId)
-  if (first) {
-    const outcome = { ...first, kind: PatchOutcomeKind.Duplicate, offset }
-    return { state: next, outcome }
-  }
-  const { outcome, configuration } = decide(state, record, offset)
-  const outcomes = new Map(state.outcomes).set(record.patchId, outcome)
-  return {
-    state: {
-      ...next,
-      outcomes,
-      version: outcome.version,
-      configuration: configuration ?? state.configuration,
-    },
-    outcome,
+    schema: 1,
   }
 }
--- a/packages/core/src/node/configuration/patchRecord.ts
+++ b/packages/core/src/node/configuration/patchRecord.ts
@@ -4,12 +4,18 @@
 const operationSchema = z.looseObject({
   op: z.enum(['add', 'remove', 'replace', 'move', 'copy', 'test']),
   path: z.string(),
+  from: z.string().optional(),
+  value: z.unknown().optional(),
 })
 
+/** One operation of a JSON Patch (RFC 6902). */
+export type PatchOperation = z.infer<typeof operationSchema>
+
 /** Checks a patch record of the configuration stream. */
 export const patchRecordSchema = z.strictObject({
   type: z.literal('patch'),
-  schema: z.literal(CONFIGURATION_SCHEMA),
+  /** Schema version that the author's router validated with. */
+  schema: z.int().min(1).max(CONFIGURATION_SCHEMA),
   patchId: z.string().min(1).max(64),
   baseVersion: z.int().min(0),
   author: z.string().min(1).max(128),
--- a/packages/core/src/node/constants.ts
+++ b/packages/core/src/node/constants.ts
@@ -25,3 +25,6 @@
 export const CACHE_HEADER = 'x-auburnbay-cache'
 /** Request header towards targets: identity that the target echoes. */
 export const REQUEST_ID_HEADER = 'x-request-id'
+
+/** Records after which a patch's outcome is forgotten. */
+export const OUTCOME_WINDOW_RECORDS = 4096
