--- a/packages/core/src/node/configuration/__tests__/createPatcher.test.ts
+++ b/packages/core/src/node/configuration/__tests__/createPatcher.test.ts
@@ -110,7 +110,11 @@
       assert.ok(patch.isErr(), path)
     }
     assert.equal('polluted' in {}, false)
-    assert.equal('polluted' in Object.prototype.toString, false)
+    assert.equal(Object.hasOwn(Object, 'polluted'), false)
+    assert.equal(
+      Reflect.has(Reflect.get({}, 'toString') as object, 'polluted'),
+      false,
+    )
   })
 
   it('refuses operations that would throw', () => {
--- a/packages/core/src/node/configuration/applyLogPage.ts
+++ b/packages/core/src/node/configuration/applyLogPage.ts
@@ -87,7 +87,8 @@
 ): ConfigurationStep {
   const fault = findFault(state, page)
   if (fault) return fault
-  const { lastRecord, problem } = state
+  const { problem, ...healthy } = state
+  const { lastRecord } = state
   const isVerified =
     lastRecord === undefined ||
     page.firstOffset > lastRecord.offset ||
@@ -100,6 +101,5 @@
   if (wasRewritten && page.firstOffset > (lastRecord?.offset ?? 0))
     return { state, outcomes: [] }
   const records = contiguous(page.records, state.nextOffset)
-  const healthy = { ...state, logId: page.logId, problem: undefined }
-  return applyRecords(healthy, records)
+  return applyRecords({ ...healthy, logId: page.logId }, records)
 }
--- a/packages/core/src/node/configuration/applyRecords.ts
+++ b/packages/core/src/node/configuration/applyRecords.ts
@@ -19,6 +19,8 @@
   readonly outcomes: readonly PatchOutcome[]
 }
 
+const MAX_REASON_LENGTH = 300
+
 interface Progress {
   state: ConfigurationState
   readonly patcher: Patcher
@@ -28,7 +30,7 @@
 
 /** Returns the hash by which a record is recognised when read again. */
 export function hashRecord(value: unknown): string {
-  return hash64(JSON.stringify(value) ?? '')
+  return hash64(String(JSON.stringify(value)))
 }
 
 function decide(progress: Progress, record: PatchRecord, offset: number) {
@@ -44,7 +46,11 @@
   }
   const patched = progress.patcher.patch(record.operations)
   if (patched.isErr())
-    return { ...base, kind: PatchOutcomeKind.Invalid, reason: patched.error }
+    return {
+      ...base,
+      kind: PatchOutcomeKind.Invalid,
+      reason: patched.error.slice(0, MAX_REASON_LENGTH),
+    }
   return { ...base, kind: PatchOutcomeKind.Applied, version: version + 1 }
 }
 
--- a/packages/core/src/node/configuration/configurationProblem.ts
+++ b/packages/core/src/node/configuration/configurationProblem.ts
@@ -12,6 +12,10 @@
   NewerSchema = 'newer-schema',
   /** A snapshot or a peer has the same version with other contents. */
   DigestDiffers = 'digest-differs',
+  /** A snapshot would lead back. */
+  SnapshotOlder = 'snapshot-older',
+  /** A snapshot is damaged. */
+  SnapshotBroken = 'snapshot-broken',
 }
 
 /** What keeps a router from following the log, for operators. */
--- a/packages/core/src/node/constants.ts
+++ b/packages/core/src/node/constants.ts
@@ -28,3 +28,17 @@
 
 /** Records after which a patch's outcome is forgotten. */
 export const OUTCOME_WINDOW_RECORDS = 4096
+/** Stream of the log service that carries configuration snapshots. */
+export const SNAPSHOT_STREAM = 'snapshots'
+/** Records after which the next configuration snapshot is written. */
+export const SNAPSHOT_EVERY_RECORDS = 1000
+/** Milliseconds by which each further router waits for the one before it. */
+export const SNAPSHOT_RANK_STEP_MS = 10_000
+/** Longest extra wait before a snapshot is written, in milliseconds. */
+export const SNAPSHOT_JITTER_MS = 2_000
+/** Routers of a data centre that read the configuration from the log. */
+export const TAILERS_PER_DATA_CENTRE = 3
+/** Up to so many routers, every router exchanges heartbeats with all others. */
+export const FULL_MESH_ROUTERS = 16
+/** Routers that follow one router in the tree of a data centre. */
+export const DIGEST_FANOUT = 8
--- /dev/null
+++ b/packages/core/src/node/snapshot/snapshotSchedule.ts
@@ -0,0 +1,67 @@
+import { hash32 } from '../hash/hash32.js'
+import { rendezvousOrder } from '../routing/rendezvousOrder.js'
+import {
+  SNAPSHOT_EVERY_RECORDS,
+  SNAPSHOT_JITTER_MS,
+  SNAPSHOT_RANK_STEP_MS,
+} from '../constants.js'
+
+/** A snapshot that stands on the log. */
+export interface WrittenSnapshot {
+  readonly version: number
+  readonly nextOffset: number
+  /** Milliseconds since the epoch. */
+  readonly atMs: number
+}
+
+/** What the decision to write a snapshot looks at. */
+export interface SnapshotScheduleInput {
+  readonly version: number
+  readonly nextOffset: number
+  readonly last?: WrittenSnapshot
+  readonly router: string
+  readonly liveRouters: readonly string[]
+  /** Milliseconds that the log keeps a record. */
+  readonly retentionMs: number
+  /** Milliseconds since the epoch. */
+  readonly nowMs: number
+}
+
+/** Since when a snapshot is due, or undefined while none is. */
+export interface SnapshotSchedule {
+  readonly dueSinceMs?: number
+}
+
+function isDue(input: SnapshotScheduleInput): boolean {
+  const { last, version, nextOffset, nowMs, retentionMs } = input
+  if (version === 0) return false
+  if (!last) return true
+  const ageMs = nowMs - last.atMs
+  if (ageMs >= retentionMs / 4) return true
+  if (version === last.version) return false
+  const records = nextOffset - last.nextOffset
+  return records >= SNAPSHOT_EVERY_RECORDS || ageMs >= retentionMs / 8
+}
+
+function delayMs(input: SnapshotScheduleInput): number {
+  const key = `snapshot\n${input.last?.nextOffset ?? 0}`
+  const routers = new Set([...input.liveRouters, input.router])
+  const order = rendezvousOrder(
+    key,
+    [...routers].map((id) => ({ id, weight: 1 })),
+  )
+  const rank = order.findIndex(({ id }) => id === input.router)
+  const jitter = hash32(`${key}\n${input.router}`) % SNAPSHOT_JITTER_MS
+  return rank * SNAPSHOT_RANK_STEP_MS + jitter
+}
+
+/** Decides whether this router writes a snapshot now; writing twice is harmless. */
+export function scheduleSnapshot(
+  schedule: SnapshotSchedule,
+  input: SnapshotScheduleInput,
+): { schedule: SnapshotSchedule; write: boolean } {
+  if (!isDue(input)) return { schedule: {}, write: false }
+  const dueSinceMs = schedule.dueSinceMs ?? input.nowMs
+  const write = input.nowMs - dueSinceMs >= delayMs(input)
+  return { schedule: { dueSinceMs }, write }
+}
