--- a/packages/core/src/node/configuration/applyRecords.ts
+++ b/packages/core/src/node/configuration/applyRecords.ts
@@ -30,7 +30,7 @@
 
 /** Returns the hash by which a record is recognised when read again. */
 export function hashRecord(value: unknown): string {
-  return hash64(String(JSON.stringify(value)))
+  return hash64(JSON.stringify([value]))
 }
 
 function decide(progress: Progress, record: PatchRecord, offset: number) {
--- /dev/null
+++ b/packages/daemon/src/node/configuration/configurationPeer.ts
@@ -0,0 +1,7 @@
+import type { PeerConfiguration, ReadingPeer } from '@auburnbay/core'
+
+/** A live peer and what it says of its configuration. */
+export interface ConfigurationPeer extends PeerConfiguration, ReadingPeer {
+  /** Host and port of its peer listener. */
+  readonly address?: string
+}
--- a/packages/daemon/src/node/configuration/createConfigurationTailer.ts
+++ b/packages/daemon/src/node/configuration/createConfigurationTailer.ts
@@ -1,67 +1,90 @@
-import {
-  applyConfigurationRecord,
-  CONFIGURATION_STREAM,
-  type ConfigurationState,
-  createConfigurationState,
-  PatchOutcomeKind,
-} from '@auburnbay/core'
+import { type ConfigurationState, shouldTail } from '@auburnbay/core'
 import type { ConsolaInstance } from 'consola'
-import { LOG_POLL_WAIT_MS, LOG_RETRY_MS } from '../constants.js'
 import type { LogClient } from '../logService/logClient.js'
-import { createLoop } from '../tasks/createLoop.js'
+import type { Metrics } from '../metrics/metrics.js'
+import type { ConfigurationPeer } from './configurationPeer.js'
+import type {
+  ConfigurationSince,
+  ConfigurationTransfer,
+} from './configurationTransfer.js'
+import { createConfigurationStore } from './createConfigurationStore.js'
+import { createLogReader } from './createLogReader.js'
+import { createPeerFollower } from './createPeerFollower.js'
+import { createSnapshotWriter } from './createSnapshotWriter.js'
 
 /** Follows the configuration stream and holds the version in force. */
 export interface ConfigurationTailer {
   readonly state: ConfigurationState
-  /** Whether the log answered the last read. */
+  /** Whether this router reads the log and the last read was answered. */
   readonly connected: boolean
+  /** Reads what the log has now; returns whether it answered. */
+  refresh(): Promise<boolean>
+  /** Returns what a peer that is behind needs; undefined without a log. */
+  transfer(since: ConfigurationSince): ConfigurationTransfer | undefined
   stop(): Promise<void>
 }
 
-/** Starts following the configuration stream. */
+/** What following the configuration works with. */
+export interface ConfigurationTailerOptions {
+  readonly log: LogClient
+  readonly logger: ConsolaInstance
+  readonly metrics: Metrics
+  readonly router: { readonly id: string; readonly dataCentre: string }
+  /** Milliseconds that the log keeps a record. */
+  readonly retentionMs: number
+  /** Live peers. */
+  readonly peers: () => readonly ConfigurationPeer[]
+  /** Fetches from the peer at an address; rejects when it does not answer. */
+  readonly fetch: (
+    address: string,
+    since: ConfigurationSince,
+  ) => Promise<ConfigurationTransfer>
+  /** Milliseconds since the epoch. */
+  readonly nowMs: () => number
+}
+
+/** Starts following the configuration, from the log or from peers. */
 export function createConfigurationTailer(
-  log: LogClient,
-  logger: ConsolaInstance,
+  options: ConfigurationTailerOptions,
 ): ConfigurationTailer {
-  let state = createConfigurationState()
-  let connected = false
-
-  async function round(): Promise<void> {
-    const page = await log.read(
-      CONFIGURATION_STREAM,
-      state.nextOffset,
-      LOG_POLL_WAIT_MS,
-    )
-    if (page.isErr()) {
-      if (connected) logger.warn(`Lost the log: ${page.error.message}.`)
-      connected = false
-      return
-    }
-    connected = true
-    for (const record of page.value.records) {
-      const step = applyConfigurationRecord(state, record.value, record.offset)
-      state = step.state
-      if (step.outcome?.kind === PatchOutcomeKind.Applied)
-        logger.info(`Version ${state.version} is in force.`)
-    }
-  }
-
-  async function roundWithRetry(): Promise<void> {
-    await round()
-    if (!connected)
-      await new Promise((resolve) => setTimeout(resolve, LOG_RETRY_MS))
-  }
-
-  const loop = createLoop(roundWithRetry, 0, (error) => {
-    logger.error(error)
+  const { log, logger, metrics, router, peers } = options
+  const store = createConfigurationStore(logger, metrics)
+  const reader = createLogReader({
+    log,
+    store,
+    logger,
+    shouldRead: () => shouldTail(router, peers()),
+  })
+  const followsLog = () => reader.connected
+  const follower = createPeerFollower({
+    store,
+    logger,
+    metrics,
+    peers,
+    fetch: options.fetch,
+    followsLog,
+  })
+  const writer = createSnapshotWriter({
+    log,
+    store,
+    logger,
+    router: router.id,
+    liveRouters: () => peers().map(({ id }) => id),
+    retentionMs: options.retentionMs,
+    nowMs: options.nowMs,
+    followsLog,
   })
   return {
     get state() {
-      return state
+      return store.state
     },
     get connected() {
-      return connected
+      return reader.connected
+    },
+    refresh: () => reader.refresh(),
+    transfer: (since) => store.transfer(since),
+    stop: async () => {
+      await Promise.all([reader.stop(), follower.stop(), writer.stop()])
     },
-    stop: () => loop.stop(),
   }
 }
