Follow the configuration through the log or through peers

Cause: every router polled the log alone; a router cut off from it stayed behind, a replaced log reset the version, and a patch with a lost or missing answer was reported as an internal error or not at all. Excluded: a router that answers for the log (two routers would need agreement).

Loops start their first round after set-up.

--- a/packages/core/src/node/snapshot/chooseSnapshot.ts
+++ b/packages/core/src/node/snapshot/chooseSnapshot.ts
@@ -1,9 +1,10 @@
 import type { ConfigurationState } from '../configuration/configurationState.js'
 import { adoptSnapshot } from './adoptSnapshot.js'
 
-/** The best state that some snapshots lead to, and how many were refused. */
+/** The best of some snapshots, and why others were refused. */
 export interface SnapshotChoice {
   readonly state?: ConfigurationState
+  readonly snapshot?: unknown
   readonly refused: readonly string[]
 }
 
@@ -14,11 +15,15 @@
   values: readonly unknown[],
 ): SnapshotChoice {
   let best: ConfigurationState | undefined
+  let snapshot: unknown
   const refused: string[] = []
   for (const value of values) {
     const adopted = adoptSnapshot(best ?? state, value)
     if (adopted.isErr()) refused.push(adopted.error.message)
-    else if (adopted.value.logId === logId) best = adopted.value
+    else if (adopted.value.logId === logId) {
+      best = adopted.value
+      snapshot = value
+    }
   }
-  return { state: best, refused }
+  return { state: best, snapshot, refused }
 }
--- a/packages/daemon/src/node/__tests__/startFleet.ts
+++ b/packages/daemon/src/node/__tests__/startFleet.ts
@@ -13,6 +13,7 @@
   createVmList,
   type EngineOptions,
   type EngineStandIn,
+  type ListedVm,
   type LogServiceStandIn,
   type PlainServiceStandIn,
   type StandIn,
@@ -31,6 +32,8 @@
   readonly engine?: EngineOptions
   /** Settings on top of those of the test fleet. */
   readonly settings?: Partial<Settings>
+  /** Settings of one router on top of those. */
+  readonly settingsOf?: (index: number) => Partial<Settings>
 }
 
 /** Routers and stand-ins in one process. */
@@ -39,13 +42,15 @@
   readonly vmList: VmListStandIn
   readonly engines: readonly EngineStandIn[]
   readonly plain: PlainServiceStandIn
-  readonly routers: readonly Daemon[]
+  readonly routers: Daemon[]
   readonly callerKey: string
   /** Base URL of a router's listener for callers. */
   callerUrl(router?: number): string
   adminUrl(router?: number): string
   /** Submits operations against the version in force. */
   patch(operations: readonly unknown[], base: number): Promise<JsonReply>
+  /** Starts one more router and puts it on the VM list. */
+  addRouter(extra?: Partial<Settings>): Promise<Daemon>
   stop(): Promise<void>
 }
 
@@ -130,18 +135,23 @@
   for (let index = 0; index < (options.engines ?? 2); index += 1)
     engines.push(await createEngine(options.engine))
   const routers: Daemon[] = []
-  for (let index = 0; index < (options.routers ?? 1); index += 1) {
-    const extra = options.settings ?? {}
-    const settings = resolveSettings(routerSettings(index, log, vmList, extra))
-    routers.push(await createDaemon(settings._unsafeUnwrap()))
+  const addRouter = async (extra: Partial<Settings> = {}): Promise<Daemon> => {
+    const settings = routerSettings(routers.length, log, vmList, extra)
+    const resolved = resolveSettings(settings)._unsafeUnwrap()
+    const router = await createDaemon(resolved)
+    routers.push(router)
+    const entry: ListedVm = {
+      id: resolved.router.id,
+      role: 'router',
+      address: formatAddress(router.addresses.peers),
+      dataCentre: resolved.router.dataCentre,
+      state: 'live',
+    }
+    vmList.vms = [...vmList.vms.filter(({ id }) => id !== entry.id), entry]
+    return router
   }
-  vmList.vms = routers.map((router, index) => ({
-    id: `router-${index + 1}`,
-    role: 'router',
-    address: formatAddress(router.addresses.peers),
-    dataCentre: 'dc-1',
-    state: 'live',
-  }))
+  for (let index = 0; index < (options.routers ?? 1); index += 1)
+    await addRouter({ ...options.settings, ...options.settingsOf?.(index) })
   const key = createCallerKey('corrib', 'bridge')
 
   const urlOf = (part: keyof Daemon['addresses'], index: number): string => {
@@ -156,6 +166,7 @@
     plain,
     routers,
     callerKey: key.text,
+    addRouter,
     callerUrl: (index = 0) => urlOf('callers', index),
     adminUrl: (index = 0) => urlOf('admin', index),
     patch: async (operations, base) => {
--- a/packages/daemon/src/node/admin/createAdminServer.ts
+++ b/packages/daemon/src/node/admin/createAdminServer.ts
@@ -17,12 +17,15 @@
   sendJson,
 } from '@auburnbay/http-utils'
 import type { ConfigurationTailer } from '../configuration/createConfigurationTailer.js'
+import { configurationStatus } from '../configuration/configurationStatus.js'
+import { findOutcome } from './findOutcome.js'
 import type { LogClient } from '../logService/logClient.js'
 import type { Membership } from '../membership/createMembership.js'
 import { secretsMatch } from '../peers/peerSecret.js'
 import type { Routing } from '../routing/routing.js'
 import type { ResolvedSettings } from '../settings/settingsSchema.js'
-import { submitPatch } from './submitPatch.js'
+import { moveConfiguration } from './moveConfiguration.js'
+import { SubmissionKind, submitPatch } from './submitPatch.js'
 
 /** What the administration API works with. */
 export interface AdminServerOptions {
@@ -46,6 +49,11 @@
   [PatchOutcomeKind.Invalid]: 422,
 }
 
+const SUBMISSION_STATUS = {
+  [SubmissionKind.NotAppended]: 503,
+  [SubmissionKind.Unknown]: 504,
+} as const
+
 function sendError(res: ServerResponse, status: number, message: string): void {
   sendJson(res, status, { error: { message } })
 }
@@ -94,8 +102,21 @@
       sendError(res, 400, parsed.error.message)
       return
     }
-    const outcome = await submitPatch(log, tailer, parsed.data)
-    sendOutcome(res, parsed.data.patchId, outcome)
+    const submission = await submitPatch(log, tailer, parsed.data)
+    if (submission.kind === SubmissionKind.Decided)
+      sendOutcome(res, parsed.data.patchId, submission.outcome)
+    else sendError(res, SUBMISSION_STATUS[submission.kind], submission.message)
+  }
+
+  async function move(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const body = await readBody(req, settings.callers.maxBodyBytes)
+    const text = body.isOk() ? body.value.toString('utf8') : ''
+    const moved = await moveConfiguration(log, tailer, text)
+    if (moved.isErr()) sendError(res, moved.error.status, moved.error.message)
+    else sendJson(res, 200, configurationStatus(settings, tailer, membership))
   }
 
   async function serve(
@@ -112,10 +133,14 @@
     if (pathname === '/config/patches' && req.method === 'POST')
       await submit(req, res)
     else if (patchId !== undefined)
-      sendOutcome(res, patchId, tailer.state.outcomes.get(patchId))
+      sendOutcome(res, patchId, await findOutcome(tailer, patchId))
     else if (pathname === '/config') {
-      const { version, configuration } = tailer.state
-      sendJson(res, 200, { version, configuration })
+      const { version, configuration, problem } = tailer.state
+      sendJson(res, 200, { version, configuration, problem })
+    } else if (pathname === '/config/move' && req.method === 'POST') {
+      await move(req, res)
+    } else if (pathname === '/config/status') {
+      sendJson(res, 200, configurationStatus(settings, tailer, membership))
     } else if (pathname === '/routers')
       sendJson(res, 200, membership.livePeers())
     else if (pathname === '/targets') sendJson(res, 200, routing.status())
--- /dev/null
+++ b/packages/daemon/src/node/admin/findOutcome.ts
@@ -0,0 +1,13 @@
+import type { PatchOutcome } from '@auburnbay/core'
+import type { ConfigurationTailer } from '../configuration/createConfigurationTailer.js'
+
+/** Looks a patch up, reading the log once more for one not seen yet. */
+export async function findOutcome(
+  tailer: ConfigurationTailer,
+  patchId: string,
+): Promise<PatchOutcome | undefined> {
+  const known = tailer.state.outcomes.get(patchId)
+  if (known) return known
+  await tailer.refresh()
+  return tailer.state.outcomes.get(patchId)
+}
--- a/packages/daemon/src/node/admin/submitPatch.ts
+++ b/packages/daemon/src/node/admin/submitPatch.ts
@@ -1,3 +1,4 @@
+import { performance } from 'node:perf_hooks'
 import { setTimeout as sleep } from 'node:timers/promises'
 import {
   CONFIGURATION_STREAM,
@@ -36,8 +37,8 @@
   tailer: ConfigurationTailer,
   patchId: string,
 ): Promise<PatchOutcome | undefined> {
-  const checks = Math.ceil(ACCEPT_TIMEOUT_MS / ACCEPT_CHECK_MS)
-  for (let check = 0; check < checks; check += 1) {
+  const end = performance.now() + ACCEPT_TIMEOUT_MS
+  while (performance.now() < end) {
     const outcome = tailer.state.outcomes.get(patchId)
     if (outcome) return outcome
     await tailer.refresh()
--- /dev/null
+++ b/packages/daemon/src/node/configuration/__tests__/fleetApi.ts
@@ -0,0 +1,47 @@
+import { type JsonReply, requestJson } from '@auburnbay/http-utils'
+import { type Fleet, TEST_ADMIN_TOKEN } from '../../__tests__/startFleet.js'
+import type { ConfigurationStatus } from '../configurationStatus.js'
+
+const CALL_TIMEOUT_MS = 10_000
+
+/** Calls the administration API of one router. */
+export async function callAdmin(
+  fleet: Fleet,
+  router: number,
+  method: string,
+  path: string,
+  body?: unknown,
+): Promise<JsonReply> {
+  const reply = await requestJson({
+    method,
+    url: `${fleet.adminUrl(router)}${path}`,
+    headers: { authorization: `Bearer ${TEST_ADMIN_TOKEN}` },
+    body,
+    timeoutMs: CALL_TIMEOUT_MS,
+  })
+  return reply._unsafeUnwrap()
+}
+
+/** Returns what one router says of the versions it knows. */
+export async function statusOf(
+  fleet: Fleet,
+  router: number,
+): Promise<ConfigurationStatus> {
+  const reply = await callAdmin(fleet, router, 'GET', '/config/status')
+  return reply.body as ConfigurationStatus
+}
+
+/** Submits a patch that sets the default rank. */
+export function submitRank(
+  fleet: Fleet,
+  router: number,
+  patchId: string,
+  baseVersion: number,
+): Promise<JsonReply> {
+  return callAdmin(fleet, router, 'POST', '/config/patches', {
+    patchId,
+    baseVersion,
+    author: 'test',
+    operations: [{ op: 'replace', path: '/defaultRank', value: 3 }],
+  })
+}
--- a/packages/daemon/src/node/configuration/createLogReader.ts
+++ b/packages/daemon/src/node/configuration/createLogReader.ts
@@ -8,11 +8,7 @@
 import type { Result } from 'neverthrow'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { LOG_POLL_WAIT_MS, LOG_RETRY_MS } from '../constants.js'
-import type {
-  LogClient,
-  LogError,
-  LogPage,
-} from '../logService/logClient.js'
+import type { LogClient, LogError, LogPage } from '../logService/logClient.js'
 import { createLoop } from '../tasks/createLoop.js'
 import type { ConfigurationStore } from './createConfigurationStore.js'
 import { readSnapshots } from './readSnapshots.js'
@@ -67,11 +63,8 @@
     const page = await readSnapshots(log)
     if (page.isErr()) return
     const values = page.value.records.map(({ value }) => value)
-    const { state } = chooseSnapshot(store.state, page.value.logId, values)
-    const chosen = values.findLast(
-      (value) => (value as { digest?: string }).digest === state?.digest,
-    )
-    if (state && chosen !== undefined) store.adopt(chosen)
+    const chosen = chooseSnapshot(store.state, page.value.logId, values)
+    if (chosen.snapshot !== undefined) store.adopt(chosen.snapshot)
     startedFromSnapshot = true
   }
 
@@ -80,10 +73,8 @@
     const page = await readPage(waitMs)
     if (page.isErr()) {
       if (connected) logger.warn(`Lost the log: ${page.error.message}.`)
-      connected = false
       return false
     }
-    connected = true
     store.apply(page.value)
     const { problem } = store.state
     if (problem && NEEDS_SNAPSHOT.has(problem.kind)) await takeSnapshot()
@@ -91,10 +82,8 @@
   }
 
   async function round(signal: AbortSignal): Promise<void> {
-    const reads = options.shouldRead()
-    if (!reads) connected = false
-    const answered = reads && (await read(LOG_POLL_WAIT_MS))
-    if (answered && !store.state.problem) return
+    connected = options.shouldRead() && (await read(LOG_POLL_WAIT_MS))
+    if (connected && !store.state.problem) return
     await sleep(LOG_RETRY_MS, undefined, { signal }).catch(() => undefined)
   }
 
--- a/packages/daemon/src/node/configuration/createPeerFollower.ts
+++ b/packages/daemon/src/node/configuration/createPeerFollower.ts
@@ -47,8 +47,7 @@
 
   function take(transfer: ConfigurationTransfer, from: number): void {
     const { logId, nextOffset, records, snapshot } = transfer
-    if (records)
-      store.apply({ logId, firstOffset: from, nextOffset, records })
+    if (records) store.apply({ logId, firstOffset: from, nextOffset, records })
     else if (snapshot !== undefined) store.adopt(snapshot)
   }
 
--- /dev/null
+++ b/packages/daemon/src/node/configuration/describeConfiguration.ts
@@ -0,0 +1,11 @@
+import type { Heartbeat } from '../peers/heartbeat.js'
+import type { ConfigurationTailer } from './createConfigurationTailer.js'
+
+/** Returns what this router's heartbeats say of its configuration. */
+export function describeConfiguration(
+  tailer: ConfigurationTailer,
+): Heartbeat['configuration'] {
+  const { digest, nextOffset, logId, problem } = tailer.state
+  const readsLog = tailer.connected
+  return { digest, nextOffset, logId, readsLog, problem: problem?.kind }
+}
--- a/packages/daemon/src/node/configuration/readSnapshots.ts
+++ b/packages/daemon/src/node/configuration/readSnapshots.ts
@@ -1,10 +1,6 @@
 import { SNAPSHOT_STREAM } from '@auburnbay/core'
 import { ok, type Result } from 'neverthrow'
-import type {
-  LogClient,
-  LogError,
-  LogPage,
-} from '../logService/logClient.js'
+import type { LogClient, LogError, LogPage } from '../logService/logClient.js'
 import { SNAPSHOTS_READ } from './constants.js'
 
 /** Reads the newest snapshots of the log, newest last. */
--- a/packages/daemon/src/node/configuration/recordHistory.ts
+++ b/packages/daemon/src/node/configuration/recordHistory.ts
@@ -26,7 +26,8 @@
 
   return {
     add(records) {
-      for (const record of records) {
+      for (const { offset, value } of records) {
+        const record = { offset, value }
         const length = JSON.stringify(record).length
         kept.push({ record, characters: length })
         characters += length
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -6,7 +6,9 @@
 import { createAdmission } from './admission/createAdmission.js'
 import { createCallerServer } from './callers/createCallerServer.js'
 import { createDispatcher } from './callers/createDispatcher.js'
+import { configurationPeers } from './configuration/configurationPeers.js'
 import { createConfigurationTailer } from './configuration/createConfigurationTailer.js'
+import { describeConfiguration } from './configuration/describeConfiguration.js'
 import { createLogClient } from './logService/createLogClient.js'
 import { createLogs } from './logging/createLogs.js'
 import { createMembership } from './membership/createMembership.js'
@@ -47,8 +49,18 @@
   const incarnation = randomUUID()
   let stopping = false
 
+  const peerClient = createPeerClient(settings.secrets.peer)
   const log = createLogClient(settings.logService.url)
-  const tailer = createConfigurationTailer(log, logs.part('configuration'))
+  const tailer = createConfigurationTailer({
+    log,
+    logger: logs.part('configuration'),
+    metrics,
+    router: settings.router,
+    retentionMs: settings.logService.retentionMs,
+    peers: () => configurationPeers(membership.livePeers()),
+    fetch: (address, since) => peerClient.configurationSince(address, since),
+    nowMs: Date.now,
+  })
   const configuration = () => tailer.state.configuration
   const vmList = createVmListPoller(settings.vmList, logs.part('membership'))
   const vms = () => vmList.vms
@@ -71,13 +83,13 @@
     incarnation,
     dataCentre: settings.router.dataCentre,
     configurationVersion: tailer.state.version,
+    configuration: describeConfiguration(tailer),
     stopping,
     digest: {
       targets: routing.ownInFlight(),
       customers: admission.runningByCustomer(),
     },
   })
-  const peerClient = createPeerClient(settings.secrets.peer)
   const membership = createMembership({
     settings,
     client: peerClient,
@@ -90,6 +102,7 @@
       membership.heard(heartbeat)
       return self()
     },
+    onConfigurationSince: (since) => tailer.transfer(since),
   })
 
   const targets = createTargetClient(settings.targets)
--- a/packages/daemon/src/node/logService/createLogClient.ts
+++ b/packages/daemon/src/node/logService/createLogClient.ts
@@ -52,10 +52,11 @@
       })
       return check(reply, appendReply, true).map((body) => body.firstOffset)
     },
-    async read(stream, from, waitMs = 0) {
+    async read(stream, from, waitMs = 0, limit) {
+      const upTo = limit === undefined ? '' : `&limit=${limit}`
       const reply = await requestJson({
         method: 'GET',
-        url: `${url(stream)}?from=${from}&waitMs=${waitMs}`,
+        url: `${url(stream)}?from=${from}&waitMs=${waitMs}${upTo}`,
         timeoutMs: LOG_CALL_TIMEOUT_MS + waitMs,
         agent,
       })
--- a/packages/daemon/src/node/logService/logClient.ts
+++ b/packages/daemon/src/node/logService/logClient.ts
@@ -30,10 +30,11 @@
     stream: string,
     values: readonly unknown[],
   ): Promise<Result<number, LogError>>
-  /** Reads from an offset on, waiting up to `waitMs` for new records. */
+  /** Reads from an offset on, waiting up to `waitMs` for a record. */
   read(
     stream: string,
     from: number,
     waitMs?: number,
+    limit?: number,
   ): Promise<Result<LogPage, LogError>>
 }
--- a/packages/daemon/src/node/peers/createPeerClient.ts
+++ b/packages/daemon/src/node/peers/createPeerClient.ts
@@ -2,6 +2,12 @@
 import { createNodeFetch, type TrafficCount } from '@auburnbay/http-utils'
 import { createTRPCClient, httpBatchLink, type TRPCClient } from '@trpc/client'
 import { PEER_CALL_TIMEOUT_MS } from '../constants.js'
+import { PEER_FETCH_TIMEOUT_MS } from '../configuration/constants.js'
+import {
+  type ConfigurationSince,
+  type ConfigurationTransfer,
+  configurationTransferSchema,
+} from '../configuration/configurationTransfer.js'
 import type { Heartbeat } from './heartbeat.js'
 import type { PeerApi } from './peerApi.js'
 import { PEER_SECRET_HEADER } from './peerSecret.js'
@@ -12,6 +18,11 @@
   readonly traffic: TrafficCount
   /** Sends a heartbeat; rejects when the peer does not answer in time. */
   heartbeat(address: string, heartbeat: Heartbeat): Promise<Heartbeat>
+  /** Fetches records or a snapshot; rejects when the peer has none. */
+  configurationSince(
+    address: string,
+    since: ConfigurationSince,
+  ): Promise<ConfigurationTransfer>
   close(): void
 }
 
@@ -43,6 +54,13 @@
       clientOf(address).heartbeat.mutate(heartbeat, {
         signal: AbortSignal.timeout(PEER_CALL_TIMEOUT_MS),
       }),
+    configurationSince: async (address, since) => {
+      const signal = AbortSignal.timeout(PEER_FETCH_TIMEOUT_MS)
+      const answer = await clientOf(address).configurationSince.mutate(since, {
+        signal,
+      })
+      return configurationTransferSchema.parse(answer)
+    },
     close: () => {
       agent.destroy()
     },
--- a/packages/daemon/src/node/peers/heartbeat.ts
+++ b/packages/daemon/src/node/peers/heartbeat.ts
@@ -11,13 +11,28 @@
 /** The in-flight counts of one router. */
 export type Digest = z.infer<typeof digestSchema>
 
-/** Checks a heartbeat. */
-export const heartbeatSchema = z.strictObject({
+/** Checks what a heartbeat says of the sender's configuration. */
+export const configurationDigestSchema = z.object({
+  /** Hash over all patches that led to the version. */
+  digest: z.string(),
+  /** Log offset that is read next. */
+  nextOffset: z.int().min(0),
+  logId: z.string().optional(),
+  /** Whether the sender reads the log and it answers. */
+  readsLog: z.boolean(),
+  /** Kind of the fault for which the sender keeps its version. */
+  problem: z.string().optional(),
+})
+
+/** Checks a heartbeat; unknown fields come from newer releases. */
+export const heartbeatSchema = z.object({
   router: z.string(),
   /** Identity of this start of the router. */
   incarnation: z.string(),
   dataCentre: z.string(),
   configurationVersion: z.int(),
+  /** Absent from older releases. */
+  configuration: configurationDigestSchema.optional(),
   stopping: z.boolean(),
   digest: digestSchema,
 })
--- a/packages/daemon/src/node/peers/peerApi.ts
+++ b/packages/daemon/src/node/peers/peerApi.ts
@@ -1,4 +1,9 @@
 import { initTRPC, TRPCError } from '@trpc/server'
+import {
+  type ConfigurationSince,
+  configurationSinceSchema,
+  type ConfigurationTransfer,
+} from '../configuration/configurationTransfer.js'
 import { type Heartbeat, heartbeatSchema } from './heartbeat.js'
 
 /** What a call between routers knows of its sender. */
@@ -9,6 +14,10 @@
 /** What a router does with the calls of its peers. */
 export interface PeerHandlers {
   onHeartbeat(heartbeat: Heartbeat): Heartbeat
+  /** Returns what a router that is behind needs; undefined without a log. */
+  onConfigurationSince(
+    since: ConfigurationSince,
+  ): ConfigurationTransfer | undefined
 }
 
 /** Creates the procedures that routers offer each other. */
@@ -23,6 +32,9 @@
     heartbeat: procedure
       .input(heartbeatSchema)
       .mutation(({ input }) => handlers.onHeartbeat(input)),
+    configurationSince: procedure
+      .input(configurationSinceSchema)
+      .mutation(({ input }) => handlers.onConfigurationSince(input)),
   })
 }
 
--- a/packages/daemon/src/node/settings/settingsSchema.ts
+++ b/packages/daemon/src/node/settings/settingsSchema.ts
@@ -20,7 +20,11 @@
     peers: listenSchema,
     admin: listenSchema,
   }),
-  logService: z.strictObject({ url: z.url() }),
+  logService: z.strictObject({
+    url: z.url(),
+    /** Milliseconds that the log keeps a record. @default 604800000 */
+    retentionMs: positiveMs.default(604_800_000),
+  }),
   vmList: z.strictObject({
     url: z.url(),
     /** @default 1000 */
--- a/packages/daemon/src/node/tasks/createLoop.ts
+++ b/packages/daemon/src/node/tasks/createLoop.ts
@@ -18,6 +18,8 @@
   const stopped = (): boolean => signal.aborted
 
   async function run(): Promise<void> {
+    // The caller may still create what the first round needs.
+    await Promise.resolve()
     while (!stopped()) {
       try {
         await round(signal)
