--- a/packages/core/src/node/configuration/__tests__/createPatcher.test.ts
+++ b/packages/core/src/node/configuration/__tests__/patchTouched.test.ts
@@ -2,8 +2,8 @@
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
 import { configurationSchema } from '../configurationSchema.js'
-import { createPatcher } from '../createPatcher.js'
-import type { PatchOperation } from '../patchRecord.js'
+import type { JsonOperation } from '../jsonOperation.js'
+import { patchTouched } from '../patchTouched.js'
 import { patchWhole } from '../patchWhole.js'
 
 const ids = fc.constantFrom('a', 'b', 'Bad', '__proto__', 'constructor')
@@ -32,8 +32,8 @@
   { weight: 20, arbitrary: paths.map((p) => p.map((t) => `/${t}`).join('')) },
   { weight: 1, arbitrary: fc.constantFrom('targets', '/~0/~1', '/', '//') },
 )
-const soundOperations: fc.Arbitrary<PatchOperation> =
-  fc.constantFrom<PatchOperation>(
+const soundOperations: fc.Arbitrary<JsonOperation> =
+  fc.constantFrom<JsonOperation>(
     { op: 'add', path: '/customers/b', value: {} },
     { op: 'replace', path: '/customers/a/weight', value: 2 },
     { op: 'test', path: '/customers/a/weight', value: 2 },
@@ -43,7 +43,7 @@
     { op: 'replace', path: '/defaultRank', value: 3 },
     { op: 'replace', path: '/rules', value: { b: { rank: 1 } } },
   )
-const wildOperations: fc.Arbitrary<PatchOperation> = fc.oneof(
+const wildOperations: fc.Arbitrary<JsonOperation> = fc.oneof(
   fc.record({
     op: fc.constantFrom('add' as const, 'replace' as const, 'test' as const),
     path: pointers,
@@ -62,7 +62,7 @@
   maxLength: 12,
 })
 
-describe('createPatcher', () => {
+describe('patchTouched', () => {
   it('decides every patch as a whole copy and a whole check do', () => {
     let applied = 0
     const property = fc.property(patches, (list) => {
@@ -70,14 +70,15 @@
         customers: { a: {} },
         targets: { a: { service: 'a', address: 'x:1', dataCentre: 'dc-1' } },
       })
-      const patcher = createPatcher(whole)
+      let current = whole
       for (const patch of list) {
         const expected = patchWhole(whole, patch)
-        const actual = patcher.patch(patch)
+        const actual = patchTouched(current, patch)
         assert.equal(actual.isOk(), expected.isOk(), JSON.stringify(patch))
         if (expected.isOk()) applied += 1
         whole = expected.unwrapOr(whole)
-        assert.deepEqual(patcher.configuration, whole)
+        current = actual.unwrapOr(current)
+        assert.deepEqual(current, whole)
       }
     })
     fc.assert(property, { seed: 7, numRuns: 2000 })
@@ -87,8 +88,7 @@
   it('leaves the configuration it started from as it was', () => {
     const start = configurationSchema.parse({ customers: { a: {} } })
     const before = structuredClone(start)
-    const patcher = createPatcher(start)
-    const patch = patcher.patch([
+    const patch = patchTouched(start, [
       { op: 'replace', path: '/customers/a/weight', value: 5 },
       { op: 'add', path: '/customers/b', value: {} },
     ])
@@ -105,8 +105,9 @@
       '/toString/polluted',
     ]
     for (const path of paths) {
-      const patcher = createPatcher(configurationSchema.parse({}))
-      const patch = patcher.patch([{ op: 'add', path, value: 1 }])
+      const patch = patchTouched(configurationSchema.parse({}), [
+        { op: 'add', path, value: 1 },
+      ])
       assert.ok(patch.isErr(), path)
     }
     assert.equal('polluted' in {}, false)
@@ -118,7 +119,7 @@
   })
 
   it('refuses operations that would throw', () => {
-    const patches: PatchOperation[][] = [
+    const patches: JsonOperation[][] = [
       [{ op: 'add', path: 'targets', value: {} }],
       [{ op: 'move', path: '/customers/b' }],
       [
@@ -127,8 +128,8 @@
       ],
     ]
     for (const patch of patches) {
-      const patcher = createPatcher(configurationSchema.parse({}))
-      assert.ok(patcher.patch(patch).isErr())
+      const empty = configurationSchema.parse({})
+      assert.ok(patchTouched(empty, patch).isErr())
     }
   })
 })
--- a/packages/core/src/node/configuration/applyRecords.ts
+++ b/packages/core/src/node/configuration/applyRecords.ts
@@ -1,8 +1,10 @@
 import { CONFIGURATION_SCHEMA, OUTCOME_WINDOW_RECORDS } from '../constants.js'
 import { hash64 } from '../hash/hash64.js'
+import { checkChange } from '../teams/checkChange.js'
 import { ConfigurationProblemKind } from './configurationProblem.js'
+import type { Configuration } from './configurationSchema.js'
 import type { ConfigurationState } from './configurationState.js'
-import { createPatcher, type Patcher } from './createPatcher.js'
+import { patchTouched } from './patchTouched.js'
 import { type PatchOutcome, PatchOutcomeKind } from './patchOutcome.js'
 import { type PatchRecord, patchRecordSchema } from './patchRecord.js'
 import { schemaOf, schemaRecordSchema } from './schemaRecord.js'
@@ -23,7 +25,6 @@
 
 interface Progress {
   state: ConfigurationState
-  readonly patcher: Patcher
   readonly known: Map<string, PatchOutcome>
   readonly outcomes: PatchOutcome[]
 }
@@ -33,25 +34,41 @@
   return hash64(JSON.stringify([value]))
 }
 
-function decide(progress: Progress, record: PatchRecord, offset: number) {
-  const { version, schema } = progress.state
+interface Decision {
+  readonly outcome: PatchOutcome
+  readonly configuration?: Configuration
+}
+
+function decide(
+  state: ConfigurationState,
+  record: PatchRecord,
+  offset: number,
+): Decision {
+  const { version, schema } = state
   const base = { patchId: record.patchId, offset, version }
-  if (record.schema < schema) {
-    const reason = `the patch has schema ${record.schema}, but the log needs ${schema}; send it again through an upgraded router`
-    return { ...base, kind: PatchOutcomeKind.Invalid, reason }
-  }
+  const invalid = (reason: string): Decision => ({
+    outcome: {
+      ...base,
+      kind: PatchOutcomeKind.Invalid,
+      reason: reason.slice(0, MAX_REASON_LENGTH),
+    },
+  })
+  if (record.schema < schema)
+    return invalid(
+      `the patch has schema ${record.schema}, but the log needs ${schema}; send it again through an upgraded router`,
+    )
   if (record.baseVersion !== version) {
     const reason = `the patch is against version ${record.baseVersion}, but version ${version} is in force`
-    return { ...base, kind: PatchOutcomeKind.Conflict, reason }
+    return { outcome: { ...base, kind: PatchOutcomeKind.Conflict, reason } }
   }
-  const patched = progress.patcher.patch(record.operations)
-  if (patched.isErr())
-    return {
-      ...base,
-      kind: PatchOutcomeKind.Invalid,
-      reason: patched.error.slice(0, MAX_REASON_LENGTH),
-    }
-  return { ...base, kind: PatchOutcomeKind.Applied, version: version + 1 }
+  const patched = patchTouched(state.configuration, record.operations)
+  if (patched.isErr()) return invalid(patched.error)
+  const { configuration } = state
+  const refused = checkChange(configuration, patched.value, record.operator)
+  if (refused !== undefined) return invalid(refused)
+  const kind = PatchOutcomeKind.Applied
+  const outcome = { ...base, kind, version: version + 1 }
+  return { outcome, configuration: patched.value }
 }
 
 function applyPatchRecord(
@@ -65,15 +82,16 @@
     progress.outcomes.push({ ...first, kind, offset })
     return
   }
-  const outcome: PatchOutcome = decide(progress, record, offset)
+  const { outcome, configuration } = decide(progress.state, record, offset)
   progress.known.set(record.patchId, outcome)
   progress.outcomes.push(outcome)
-  if (outcome.kind !== PatchOutcomeKind.Applied) return
+  if (!configuration) return
   const { digest } = progress.state
   const operations = JSON.stringify(record.operations)
   progress.state = {
     ...progress.state,
     version: outcome.version,
+    configuration,
     digest: hash64(`${digest}\n${offset}\n${record.patchId}\n${operations}`),
   }
 }
@@ -110,7 +128,6 @@
 ): ConfigurationStep {
   const progress: Progress = {
     state,
-    patcher: createPatcher(state.configuration),
     known: new Map(state.outcomes),
     outcomes: [],
   }
@@ -124,9 +141,8 @@
     }
     applyRecord(progress, record)
   }
-  const { configuration } = progress.patcher
   return {
-    state: { ...progress.state, configuration, outcomes: progress.known },
+    state: { ...progress.state, outcomes: progress.known },
     outcomes: progress.outcomes,
   }
 }
--- a/packages/core/src/node/configuration/findTouched.ts
+++ b/packages/core/src/node/configuration/findTouched.ts
@@ -4,7 +4,7 @@
   valueFields,
 } from './configurationFields.js'
 import { parsePointer } from './jsonPointer.js'
-import type { PatchOperation } from './patchRecord.js'
+import type { JsonOperation } from './jsonOperation.js'
 
 /** The parts of a configuration that a patch reads or writes. */
 export interface TouchedParts {
@@ -16,13 +16,13 @@
 
 /** Finds what operations touch; undefined when only the whole will do. */
 export function findTouched(
-  operations: readonly PatchOperation[],
+  operations: readonly JsonOperation[],
 ): TouchedParts | undefined {
   if (hasWholeChecks) return undefined
   const entries = new Map<string, Set<string>>()
   const fields = new Set<string>()
   const paths = operations.flatMap(({ path, from }) =>
-    from === undefined ? [path] : [path, from],
+    typeof from === 'string' ? [path, from] : [path],
   )
   for (const path of paths) {
     const [field, id] = parsePointer(path) ?? []
--- a/packages/core/src/node/configuration/applyOperations.ts
+++ b/packages/core/src/node/configuration/patchInPlace.ts
@@ -1,7 +1,7 @@
 import { applyPatch, type Operation } from 'rfc6902'
 import { isPlainJson } from './isPlainJson.js'
 import { parsePointer } from './jsonPointer.js'
-import type { PatchOperation } from './patchRecord.js'
+import type { JsonOperation } from './jsonOperation.js'
 
 function own(parent: unknown, token: string): unknown {
   if (typeof parent !== 'object' || parent === null) return undefined
@@ -22,12 +22,12 @@
   return own(parent, last) !== undefined
 }
 
-function findFault(draft: unknown, operation: PatchOperation) {
+function findFault(draft: unknown, operation: JsonOperation) {
   const { op, path, from, value } = operation
   const adds = op === 'add' || op === 'move' || op === 'copy'
   if (!reaches(draft, path, !adds)) return `${path}: nothing to ${op} here`
   const copies = op === 'move' || op === 'copy'
-  if (copies && (from === undefined || !reaches(draft, from, true)))
+  if (copies && (typeof from !== 'string' || !reaches(draft, from, true)))
     return `${String(from)}: nothing to ${op} from here`
   if (!isPlainJson(value)) return `${path}: the value is not plain JSON`
   return undefined
@@ -43,14 +43,14 @@
 }
 
 /** Applies operations to `draft` in place; returns why the first one fails. */
-export function applyOperations(
+export function patchInPlace(
   draft: unknown,
-  operations: readonly PatchOperation[],
+  operations: readonly JsonOperation[],
 ): string | undefined {
   for (const operation of operations) {
     const fault = findFault(draft, operation)
     if (fault !== undefined) return fault
-    const error = applyOne(draft, operation as Operation)
+    const error = applyOne(draft, operation as unknown as Operation)
     if (error) return `${operation.path}: ${error.message}`
   }
   return undefined
--- a/packages/core/src/node/configuration/patchRecord.ts
+++ b/packages/core/src/node/configuration/patchRecord.ts
@@ -8,9 +8,6 @@
   value: z.unknown().optional(),
 })
 
-/** One operation of a JSON Patch (RFC 6902). */
-export type PatchOperation = z.infer<typeof operationSchema>
-
 /** Checks a patch record of the configuration stream. */
 export const patchRecordSchema = z.strictObject({
   type: z.literal('patch'),
@@ -19,6 +16,8 @@
   patchId: z.string().min(1).max(64),
   baseVersion: z.int().min(0),
   author: z.string().min(1).max(128),
+  /** Operator whose token was used; absent for the bootstrap owner. */
+  operator: z.string().optional(),
   /** JSON Patch (RFC 6902) operations. */
   operations: z.array(operationSchema).min(1),
 })
--- a/packages/core/src/node/configuration/patchWhole.ts
+++ b/packages/core/src/node/configuration/patchWhole.ts
@@ -1,11 +1,11 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { z } from 'zod'
-import { applyOperations } from './applyOperations.js'
+import { patchInPlace } from './patchInPlace.js'
 import {
   type Configuration,
   configurationSchema,
 } from './configurationSchema.js'
-import type { PatchOperation } from './patchRecord.js'
+import type { JsonOperation } from './jsonOperation.js'
 
 /** Describes the faults of a document, each with its path. */
 export function describeIssues(
@@ -22,10 +22,10 @@
 /** Patches a copy of the whole document and validates all of it. */
 export function patchWhole(
   configuration: Configuration,
-  operations: readonly PatchOperation[],
+  operations: readonly JsonOperation[],
 ): Result<Configuration, string> {
   const draft: unknown = structuredClone(configuration)
-  const failed = applyOperations(draft, operations)
+  const failed = patchInPlace(draft, operations)
   if (failed !== undefined) return err(failed)
   const parsed = configurationSchema.safeParse(draft)
   return parsed.success
--- a/packages/daemon/src/node/admin/submitPatch.ts
+++ b/packages/daemon/src/node/admin/submitPatch.ts
@@ -28,7 +28,7 @@
     }
 
 function unknown(record: PatchRecord, why: string): Submission {
-  const message = `${why}; ask again for patch ${record.patchId}`
+  const message = `${why}; ask for GET /config/patches/${record.patchId}`
   return { kind: SubmissionKind.Unknown, message }
 }
 
--- a/packages/daemon/src/node/configuration/__tests__/fleetApi.ts
+++ b/packages/daemon/src/node/configuration/__tests__/fleetApi.ts
@@ -1,6 +1,5 @@
 import { type JsonReply, requestJson } from '@auburnbay/http-utils'
 import { type Fleet, TEST_ADMIN_TOKEN } from '../../__tests__/startFleet.js'
-import type { ConfigurationStatus } from '../configurationStatus.js'
 
 const CALL_TIMEOUT_MS = 10_000
 
@@ -22,6 +21,13 @@
   return reply._unsafeUnwrap()
 }
 
+/** What tests look at in the answer of `/config/status`. */
+export interface ConfigurationStatus {
+  readonly version: number
+  readonly problem?: { readonly kind: string }
+  readonly routers: readonly { readonly readsLog: boolean }[]
+}
+
 /** Returns what one router says of the versions it knows. */
 export async function statusOf(
   fleet: Fleet,
--- a/packages/daemon/src/node/configuration/__tests__/logFaults.test.ts
+++ b/packages/daemon/src/node/configuration/__tests__/logFaults.test.ts
@@ -60,7 +60,7 @@
     fleet.log.faults.silent = true
     const answer = await submitRank(fleet, 0, 'silent', 1)
     assert.equal(answer.status, 504)
-    assert.match(JSON.stringify(answer.body), /ask again for patch silent/)
+    assert.match(JSON.stringify(answer.body), /patches\/silent/)
     fleet.log.faults.silent = false
     assert.equal((await submitRank(fleet, 0, 'silent', 1)).status, 200)
   })
@@ -83,8 +83,7 @@
     })
     const refused = await submitRank(fleet, 0, 'lost', 1)
     assert.equal(refused.status, 503)
-    const move = { author: 'test' }
-    const moved = await callAdmin(fleet, 0, 'POST', '/config/move', move)
+    const moved = await callAdmin(fleet, 0, 'POST', '/config/move')
     assert.equal(moved.status, 200)
     assert.equal((await submitRank(fleet, 0, 'found', 1)).status, 200)
     await eventually(versionIs(fleet, 1, 2))
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -3,12 +3,17 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { ListenAddress } from '@auburnbay/http-utils'
 import { createAdminServer } from './admin/createAdminServer.js'
-import { createAdmission } from './admission/createAdmission.js'
+import type { Admission } from './admission/admission.js'
+import { createFleetAdmission } from './admission/createFleetAdmission.js'
+import { createWaitingRouting } from './admission/createWaitingRouting.js'
 import { createCallerServer } from './callers/createCallerServer.js'
 import { createDispatcher } from './callers/createDispatcher.js'
 import { configurationPeers } from './configuration/configurationPeers.js'
 import { createConfigurationTailer } from './configuration/createConfigurationTailer.js'
 import { describeConfiguration } from './configuration/describeConfiguration.js'
+import { createTargetHealth } from './health/createTargetHealth.js'
+import { createWatchedTargets } from './health/createWatchedTargets.js'
+import { createRetries } from './limits/createRetries.js'
 import { createLogClient } from './logService/createLogClient.js'
 import { createLogs } from './logging/createLogs.js'
 import { createMembership } from './membership/createMembership.js'
@@ -33,6 +38,8 @@
 /** A running router. */
 export interface Daemon {
   readonly addresses: DaemonAddresses
+  /** Requests that run and that wait. */
+  readonly load: Pick<Admission, 'running' | 'waiting'>
   /** Stops gracefully: no request in flight is cut off. */
   stop(): Promise<void>
 }
@@ -75,8 +82,26 @@
     settings.targets.reportMs,
     now,
   )
-  const routing = createRouting({ configuration, vms, reporter })
-  const admission = createAdmission(settings.queue)
+  const health = createTargetHealth({
+    settings: settings.health,
+    configuration,
+    metrics,
+    logger: logs.part('health'),
+    now,
+  })
+  const eligible = (targetId: string, idempotent: boolean) =>
+    health.eligible(targetId, idempotent)
+  const routing = createRouting({ configuration, vms, reporter, eligible })
+  const admission = createFleetAdmission({
+    settings,
+    configuration,
+    vms,
+    membership: () => membership,
+    eligible: (targetId) => eligible(targetId, true),
+    metrics,
+    now,
+    epochNow: Date.now,
+  })
 
   const self = (): Heartbeat => ({
     router: settings.router.id,
@@ -87,7 +112,8 @@
     stopping,
     digest: {
       targets: routing.ownInFlight(),
-      customers: admission.runningByCustomer(),
+      customers: admission.inFlightByCustomer(),
+      started: admission.startedByCustomer(),
     },
   })
   const membership = createMembership({
@@ -105,13 +131,22 @@
     onConfigurationSince: (since) => tailer.transfer(since),
   })
 
-  const targets = createTargetClient(settings.targets)
+  const targets = createWatchedTargets(
+    createTargetClient(settings.targets),
+    health,
+  )
   const dispatcher = createDispatcher({
     admission,
-    routing,
+    routing: createWaitingRouting({
+      routing,
+      admission,
+      configuration,
+      maxWaitMs: settings.queue.maxWaitMs,
+      epochNow: Date.now,
+    }),
     targets,
     tracing,
-    metrics,
+    retries: createRetries(settings.retries, metrics, Date.now),
   })
   const callers = await createCallerServer({
     settings,
@@ -128,6 +163,8 @@
     tailer,
     membership,
     routing,
+    self,
+    logger: logs.part('admin'),
   })
   const addresses = {
     callers: callers.address,
@@ -154,6 +191,7 @@
       reporter.stop(),
       vmList.stop(),
       membership.stop(),
+      admission.stop(),
       tailer.stop(),
       peerServer.stop(),
     ])
@@ -164,5 +202,5 @@
     logger.info('Stopped.')
   }
 
-  return { addresses, stop }
+  return { addresses, load: admission, stop }
 }
