Join the VM list with what the peers have seen

Cause: a router whose list lagged went on placing work on a leaving target; one silent peer delayed the heartbeats to all others; an empty list emptied the view; a paused router took its own pause for the silence of its peers. Change: a pure view that holds a mass disappearance, damps flaps with a growing hold, and takes departures from heartbeats with their age, so that none circulates for ever; liveness by the own monotonic clock and by incarnation; heartbeats are sent to each peer on its own. Conclusion: a departure that one router sees reaches all.

--- /dev/null
+++ b/packages/core/src/node/membership/__tests__/membership.test.ts
@@ -0,0 +1,112 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import { FLAP_HOLD_MS, LEAVING_TTL_MS } from '../constants.js'
+import { createPeerLiveness } from '../createPeerLiveness.js'
+import { MemberState } from '../memberState.js'
+import { type VmEntry, VmRole } from '../vmEntry.js'
+import {
+  applyVmList,
+  createVmView,
+  currentVms,
+  hearLeaving,
+  leavingAges,
+  type VmView,
+} from '../vmView.js'
+
+function target(id: string, state = MemberState.Live): VmEntry {
+  return { id, role: VmRole.Target, address: 'x:1', dataCentre: 'a', state }
+}
+
+function stateOf(view: VmView, id: string, nowMs: number) {
+  return currentVms(view, nowMs).find((vm) => vm.id === id)?.state
+}
+
+const six = ['a', 'b', 'c', 'd', 'e', 'f'].map((id) => target(id))
+
+describe('the view of the VMs', () => {
+  it('keeps the last view when over half vanish at once, and says so', () => {
+    const before = applyVmList(createVmView(), six, 0)
+    const empty = applyVmList(before, [], 1_000)
+    assert.equal(currentVms(empty, 1_000).length, 6)
+    assert.equal(empty.held.length, 6)
+    assert.equal(stateOf(empty, 'a', 1_000), MemberState.Live)
+    const back = applyVmList(empty, six, 2_000)
+    assert.deepEqual(back.held, [])
+    assert.equal(stateOf(back, 'a', 2_000), MemberState.Live)
+  })
+
+  it('gives no new work to a target that vanished', () => {
+    const before = applyVmList(createVmView(), six, 0)
+    const view = applyVmList(before, six.slice(1), 1_000)
+    assert.equal(stateOf(view, 'a', 1_000), MemberState.Leaving)
+    assert.equal(leavingAges(view, 1_000).a, 0)
+  })
+
+  it('holds a target that flaps longer each time', () => {
+    const gone = [target('a', MemberState.Leaving), ...six.slice(1)]
+    let view = applyVmList(createVmView(), six, 0)
+    for (const [round, holdMs] of [3_000, 6_000, 12_000].entries()) {
+      const atMs = round * 20_000
+      view = applyVmList(view, gone, atMs)
+      view = applyVmList(view, six, atMs + 1_000)
+      const endMs = atMs + 1_000 + holdMs
+      assert.equal(stateOf(view, 'a', endMs - 1), MemberState.Leaving)
+      assert.equal(stateOf(view, 'a', endMs), MemberState.Live)
+    }
+    assert.equal(FLAP_HOLD_MS, 3_000)
+  })
+
+  it('does not let a departure circulate between routers for ever', () => {
+    let left = applyVmList(createVmView(), six, 0)
+    let right = hearLeaving(left, { a: 0 }, 0)
+    for (let nowMs = 500; nowMs <= 2 * LEAVING_TTL_MS; nowMs += 500) {
+      left = hearLeaving(left, leavingAges(right, nowMs), nowMs)
+      right = hearLeaving(right, leavingAges(left, nowMs), nowMs)
+    }
+    assert.equal(stateOf(left, 'a', 2 * LEAVING_TTL_MS), MemberState.Live)
+    assert.equal(stateOf(right, 'a', 2 * LEAVING_TTL_MS), MemberState.Live)
+  })
+
+  it('never shows a target live that the newest list calls leaving', () => {
+    const entry = fc
+      .tuple(fc.constantFrom('a', 'b', 'c'), fc.boolean())
+      .map(([id, leaves]) =>
+        target(id, leaves ? MemberState.Leaving : MemberState.Live),
+      )
+    const lists = fc.array(fc.array(entry, { maxLength: 4 }), { maxLength: 12 })
+    const property = fc.property(lists, (all) => {
+      let view = createVmView()
+      for (const [index, list] of all.entries()) {
+        view = applyVmList(view, list, index * 700)
+        for (const vm of list) {
+          if (vm.state !== MemberState.Leaving) continue
+          assert.equal(stateOf(view, vm.id, index * 700), MemberState.Leaving)
+        }
+      }
+    })
+    fc.assert(property, { seed: 11, numRuns: 1_000 })
+  })
+})
+
+describe('createPeerLiveness', () => {
+  it('takes the newest start of a router and reports two at once', () => {
+    const liveness = createPeerLiveness<string>(2_000)
+    liveness.hear('r', '2', 'new', 0)
+    liveness.hear('r', '1', 'old', 100)
+    assert.equal(liveness.live(100)[0]?.heartbeat, 'new')
+    assert.deepEqual(liveness.duplicates(100), ['r'])
+    liveness.hear('r', '2', 'new', 2_500)
+    assert.deepEqual(liveness.duplicates(2_500), [])
+  })
+
+  it('does not take its own pause for the silence of its peers', () => {
+    const liveness = createPeerLiveness<string>(2_000)
+    liveness.tick(0)
+    liveness.hear('r', '1', 'x', 0)
+    liveness.tick(60_000)
+    assert.equal(liveness.live(60_000).length, 1)
+    for (let nowMs = 60_500; nowMs <= 63_000; nowMs += 500) liveness.tick(nowMs)
+    assert.equal(liveness.live(63_000).length, 0)
+  })
+})
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -16,6 +16,7 @@
 import { createRetries } from './limits/createRetries.js'
 import { createLogClient } from './logService/createLogClient.js'
 import { createLogs } from './logging/createLogs.js'
+import { createIncarnation } from './membership/createIncarnation.js'
 import { createMembership } from './membership/createMembership.js'
 import { createVmListPoller } from './membership/createVmListPoller.js'
 import { createMetrics } from './metrics/createMetrics.js'
@@ -53,7 +54,7 @@
   const metrics = createMetrics(settings)
   const tracing = createTracing(settings)
   const now = (): number => performance.now()
-  const incarnation = randomUUID()
+  const incarnation = createIncarnation(Date.now(), randomUUID())
   let stopping = false
 
   const peerClient = createPeerClient(settings.secrets.peer)
@@ -69,7 +70,12 @@
     nowMs: Date.now,
   })
   const configuration = () => tailer.state.configuration
-  const vmList = createVmListPoller(settings.vmList, logs.part('membership'))
+  const vmList = createVmListPoller({
+    settings: settings.vmList,
+    logger: logs.part('membership'),
+    metrics,
+    now,
+  })
   const vms = () => vmList.vms
 
   const addressesOfTargets = () =>
@@ -109,6 +115,7 @@
     dataCentre: settings.router.dataCentre,
     configurationVersion: tailer.state.version,
     configuration: describeConfiguration(tailer),
+    leaving: vmList.leaving(),
     stopping,
     digest: {
       targets: routing.ownInFlight(),
@@ -120,6 +127,10 @@
     settings,
     client: peerClient,
     vms,
+    hearLeaving: (ages) => {
+      vmList.hearLeaving(ages)
+    },
+    logger: logs.part('membership'),
     self,
     now,
   })
--- a/packages/daemon/src/node/membership/createMembership.ts
+++ b/packages/daemon/src/node/membership/createMembership.ts
@@ -1,4 +1,11 @@
-import { MemberState, type VmEntry, VmRole } from '@auburnbay/core'
+import {
+  createPeerLiveness,
+  digestPeers,
+  MemberState,
+  type VmEntry,
+  VmRole,
+} from '@auburnbay/core'
+import type { ConsolaInstance } from 'consola'
 import type { PeerClient } from '../peers/createPeerClient.js'
 import type { Heartbeat } from '../peers/heartbeat.js'
 import type { ResolvedSettings } from '../settings/settingsSchema.js'
@@ -28,51 +35,69 @@
   readonly client: PeerClient
   readonly vms: () => readonly VmEntry[]
   readonly self: () => Heartbeat
+  /** Takes in the departures that a peer knows of. */
+  readonly hearLeaving: (ages: Readonly<Record<string, number>>) => void
+  readonly logger: ConsolaInstance
   readonly now: () => number
 }
 
-interface HeardPeer {
-  heartbeat: Heartbeat
-  atMs: number
-}
-
 /** Starts exchanging heartbeats with the routers of the VM list. */
 export function createMembership(options: MembershipOptions): Membership {
   const { settings, client, vms, self, now } = options
-  const peers = new Map<string, HeardPeer>()
+  const { id: own, dataCentre } = settings.router
+  const liveness = createPeerLiveness<Heartbeat>(settings.peers.timeoutMs)
+  const calling = new Set<string>()
 
   function heard(heartbeat: Heartbeat): void {
-    if (heartbeat.router === settings.router.id) return
-    peers.set(heartbeat.router, { heartbeat, atMs: now() })
+    if (heartbeat.router === own) return
+    const { router, incarnation, leaving } = heartbeat
+    liveness.hear(router, incarnation, heartbeat, now())
+    options.hearLeaving(leaving ?? {})
   }
 
   function routers(): VmEntry[] {
     return vms().filter(
-      (vm) =>
-        vm.role === VmRole.Router &&
-        vm.id !== settings.router.id &&
-        vm.state === MemberState.Live,
+      (vm) => vm.role === VmRole.Router && vm.state === MemberState.Live,
     )
   }
 
-  async function round(): Promise<void> {
-    const calls = routers().map((vm) =>
-      client.heartbeat(vm.address, self()).then(heard, () => undefined),
-    )
-    await Promise.all(calls)
+  // A silent peer must not delay the heartbeats to the others.
+  async function call(vm: VmEntry): Promise<void> {
+    if (calling.has(vm.id)) return
+    calling.add(vm.id)
+    await client.heartbeat(vm.address, self()).then(heard, () => undefined)
+    calling.delete(vm.id)
+  }
+
+  function reportDuplicates(): void {
+    for (const id of liveness.duplicates(now()))
+      options.logger.warn(
+        `Two routers call themselves ${id}; the newer one counts. Give each its own id.`,
+      )
+  }
+
+  function round(): void {
+    liveness.tick(now())
+    reportDuplicates()
+    const listed = routers()
+    const chosen = new Set(digestPeers({ id: own, dataCentre }, listed))
+    for (const vm of listed) if (chosen.has(vm.id)) void call(vm)
   }
 
   function livePeers(): PeerStatus[] {
-    const live: PeerStatus[] = []
-    for (const [id, peer] of peers) {
-      const ageMs = now() - peer.atMs
-      if (ageMs > settings.peers.timeoutMs) continue
-      const address = vms().find((vm) => vm.id === id)?.address
-      live.push({ id, address, heartbeat: peer.heartbeat, ageMs })
-    }
-    return live
+    const addresses = new Map(vms().map(({ id, address }) => [id, address]))
+    return liveness
+      .live(now())
+      .map((peer) => ({ ...peer, address: addresses.get(peer.id) }))
   }
 
-  const loop = createLoop(round, settings.peers.heartbeatMs, () => undefined)
+  const loop = createLoop(
+    () => {
+      round()
+      return Promise.resolve()
+    },
+    settings.peers.heartbeatMs,
+    () => undefined,
+  )
   return { livePeers, heard, stop: () => loop.stop() }
 }
--- a/packages/daemon/src/node/peers/heartbeat.ts
+++ b/packages/daemon/src/node/peers/heartbeat.ts
@@ -35,6 +35,8 @@
   configurationVersion: z.int(),
   /** Absent from older releases. */
   configuration: configurationDigestSchema.optional(),
+  /** Milliseconds since some router saw each of these VMs leave. */
+  leaving: z.record(z.string(), z.number().min(0)).optional(),
   stopping: z.boolean(),
   digest: digestSchema,
 })
