--- /dev/null
+++ b/packages/core/src/node/routing/createGroupHome.ts
@@ -0,0 +1,138 @@
+import {
+  createGrantLedger,
+  type GrantLedger,
+  type LedgerStatus,
+} from './createGrantLedger.js'
+import type {
+  CollectAsk,
+  CollectReply,
+  GrantAsk,
+  GrantReply,
+} from './grantMessages.js'
+import { GrantStatus } from './grantStatus.js'
+import type { LedgerView } from './ledgerView.js'
+import type { TargetGroup } from './targetGroup.js'
+
+/** What a group's home works with. */
+export interface GroupHomeOptions {
+  readonly group: TargetGroup
+  /** This router. */
+  readonly router: string
+  /** @default DEFAULT_LOAN_SIZE */
+  readonly loanSize?: number
+}
+
+/** What a router knows of the fleet when it looks after a group. */
+export interface HomeView {
+  /** Home of the group in this router's view. */
+  readonly home: string | undefined
+  /** Live routers, this one included. */
+  readonly routers: readonly string[]
+  /** Highest epoch that this router has accepted as a holder. */
+  readonly epoch: number
+  readonly nowMs: number
+}
+
+/** A count that the home wants from a router. */
+export interface CollectCall {
+  readonly to: string
+  readonly ask: CollectAsk
+}
+
+/** The home's side of one group on a router that may or may not be its home. */
+export interface GroupHome {
+  /** Takes in the view; returns the counts to ask for now. */
+  update(view: HomeView): CollectCall[]
+  collected(reply: CollectReply, nowMs: number): void
+  ask(ask: GrantAsk, view: LedgerView): GrantReply
+  /** Whether this router grants places now. */
+  readonly granting: boolean
+  readonly forced: number
+  status(view: LedgerView): LedgerStatus[]
+}
+
+/** Milliseconds between two tries to collect a router's counts. */
+const COLLECT_RETRY_MS = 200
+/** Milliseconds that an outbid home waits before it tries again. */
+const OUTBID_WAIT_MS = 1_000
+
+/** Milliseconds without a message until a router outside the view is gone. */
+const FORGET_AFTER_MS = 2_000
+
+/** Creates the home's side of a group. */
+export function createGroupHome(options: GroupHomeOptions): GroupHome {
+  const { group, router, loanSize } = options
+  let ledger: GrantLedger | undefined
+  let highestEpoch = 0
+  let closedUntilMs = -Infinity
+  let collectedAtMs = -Infinity
+  let forcedBefore = 0
+
+  function end(): void {
+    forcedBefore += ledger?.forced ?? 0
+    ledger = undefined
+  }
+
+  function outbid(epoch: number, nowMs: number): void {
+    highestEpoch = Math.max(highestEpoch, epoch)
+    closedUntilMs = nowMs + OUTBID_WAIT_MS
+    end()
+  }
+
+  function open(view: HomeView): GrantLedger {
+    highestEpoch = Math.max(highestEpoch, view.epoch) + 1
+    collectedAtMs = -Infinity
+    return createGrantLedger({ group, epoch: highestEpoch, loanSize })
+  }
+
+  function expectRouters(current: GrantLedger, view: HomeView): void {
+    for (const id of view.routers)
+      if (!current.knows(id)) current.missing.add(id)
+    for (const id of [...current.missing])
+      if (!view.routers.includes(id)) current.missing.delete(id)
+    const silentSinceMs = view.nowMs - FORGET_AFTER_MS
+    for (const id of current.silentRouters(silentSinceMs))
+      if (!view.routers.includes(id)) current.forget(id, view.nowMs)
+  }
+
+  function collectCalls(current: GrantLedger, nowMs: number): CollectCall[] {
+    if (nowMs - collectedAtMs < COLLECT_RETRY_MS) return []
+    collectedAtMs = nowMs
+    const { epoch } = current
+    const { id, membersHash } = group
+    const ask = { group: id, membersHash, home: router, epoch }
+    return [...current.missing].map((to) => ({ to, ask }))
+  }
+
+  return {
+    update(view) {
+      if (view.home !== router) {
+        end()
+        return []
+      }
+      if (ledger && view.epoch > ledger.epoch) outbid(view.epoch, view.nowMs)
+      if (!ledger && view.nowMs < closedUntilMs) return []
+      ledger ??= open(view)
+      expectRouters(ledger, view)
+      return collectCalls(ledger, view.nowMs)
+    },
+    collected(reply, nowMs) {
+      if (!ledger) return
+      if (reply.epoch > ledger.epoch) outbid(reply.epoch, nowMs)
+      else if (reply.accepted) ledger.collected(reply, nowMs)
+    },
+    ask(ask, view) {
+      if (ledger && ask.epoch > ledger.epoch) outbid(ask.epoch, view.nowMs)
+      if (ledger) return ledger.ask(ask, view)
+      const granted = ask.wants.map(() => -1)
+      return { status: GrantStatus.NotHome, epoch: 0, granted, loans: [] }
+    },
+    get granting() {
+      return ledger?.missing.size === 0
+    },
+    get forced() {
+      return forcedBefore + (ledger?.forced ?? 0)
+    },
+    status: (view) => ledger?.status(view) ?? [],
+  }
+}
--- /dev/null
+++ b/packages/measure/src/node/routing/bench/ways/createGrantWay.ts
@@ -0,0 +1,243 @@
+import {
+  type CollectCall,
+  type GrantAsk,
+  type GrantReply,
+  groupTargets,
+  homeRouter,
+  type LedgerView,
+  type Placed,
+  type TargetGroup,
+} from '@auburnbay/core'
+import type { Arrival } from '../createTrace.js'
+import type { BenchFleet, CreateWay } from '../routingWay.js'
+import { createGrantNode, type GrantNode } from './createGrantNode.js'
+import type { GrantTally } from './grantTally.js'
+
+/** Switches of the way of grants. */
+export interface GrantWayOptions {
+  /** Whether callers send the hint of the last answer. @default true */
+  readonly hints?: boolean
+  /** Credits lent on one target to one router. */
+  readonly loanSize?: number
+  /** Whether no home ever answers. @default false */
+  readonly homeSilent?: boolean
+  /** Milliseconds from one router to another. @default 0.5 */
+  readonly hopMs?: number
+}
+
+/** Milliseconds that a request waits for the home at most. */
+const HOME_LIMIT_MS = 5
+const DIGEST_EVERY_MS = 500
+const DIGEST_MAX_AGE_MS = 2_000
+const TICK_MS = 200
+
+/** The chosen way: grants and credits of a home, shares while it is silent. */
+export function grantWay(
+  tally: GrantTally,
+  options: GrantWayOptions = {},
+): CreateWay {
+  return (fleet) => createGrantFleet(fleet, tally, options)
+}
+
+function onlyGroup(ids: readonly string[]): TargetGroup {
+  const targets = ids.map((id) => ({ id, weight: 1 }))
+  const [group] = groupTargets('model', targets)
+  if (!group) throw new Error('a group needs targets')
+  return group
+}
+
+function createGrantFleet(
+  fleet: BenchFleet,
+  tally: GrantTally,
+  options: GrantWayOptions,
+) {
+  const { hints = true, loanSize, homeSilent = false, hopMs = 0.5 } = options
+  const ids = Array.from(
+    { length: fleet.targets },
+    (_, index) => `target-${index}`,
+  )
+  const group = onlyGroup(ids)
+  const members = group.members.map(({ id }) => ids.indexOf(id))
+  const placing = new Map<number, Arrival>()
+  const indexOf = new Map(members.map((target, index) => [target, index]))
+
+  const nodes = Array.from({ length: fleet.routers }, (_, self) =>
+    createGrantNode(group, self, HOME_LIMIT_MS, loanSize),
+  )
+
+  const isAlive = (node: GrantNode): boolean =>
+    fleet.liveRouters(node.self).includes(node.self)
+
+  const homes = new Map<string, GrantNode | undefined>()
+
+  function homeOf(node: GrantNode): GrantNode | undefined {
+    const routers = fleet
+      .liveRouters(node.self)
+      .map((index) => `router-${index}`)
+    const key = routers.join()
+    if (!homes.has(key)) {
+      const home = homeRouter(group.id, routers)
+      homes.set(
+        key,
+        nodes.find(({ router }) => router === home),
+      )
+    }
+    return homes.get(key)
+  }
+
+  function eligible(node: GrantNode, index: number): boolean {
+    return fleet.listed(node.self, members[index] ?? -1)
+  }
+
+  function viewOf(node: GrantNode) {
+    return {
+      nowMs: fleet.nowMs,
+      homeKnown: true,
+      eligible: (index: number) => eligible(node, index),
+    }
+  }
+
+  function ledgerView(node: GrantNode): LedgerView {
+    return {
+      nowMs: fleet.nowMs,
+      maxLoadFactor: fleet.maxLoadFactor,
+      eligible: (index) => eligible(node, index),
+      reported: (index) => fleet.reported(members[index] ?? -1),
+    }
+  }
+
+  function carryOut(placed: readonly Placed[]): void {
+    for (const { requestId, index, source, waitedMs } of placed) {
+      const arrival = placing.get(requestId)
+      placing.delete(requestId)
+      tally.sources[source] += 1
+      tally.longestWaitMs = Math.max(tally.longestWaitMs, waitedMs)
+      if (arrival && index >= 0) fleet.run(arrival, members[index] ?? 0)
+    }
+  }
+
+  function count(
+    from: GrantNode,
+    to: GrantNode,
+    ask: GrantAsk,
+    reply: GrantReply,
+  ): void {
+    tally.exchanges += 1
+    tally.payloadBytes +=
+      JSON.stringify(ask).length + JSON.stringify(reply).length
+    for (const { self } of [from, to])
+      tally.exchangesOf[self] = (tally.exchangesOf[self] ?? 0) + 1
+  }
+
+  function deliver(node: GrantNode, home: GrantNode, ask: GrantAsk): void {
+    if (homeSilent || !isAlive(home)) return
+    const reply = home.home.ask(ask, ledgerView(home))
+    const answer = (): void => {
+      carryOut(node.placer.answered(ask.sequence, reply, viewOf(node)))
+      send(node)
+    }
+    if (home === node) answer()
+    else {
+      count(node, home, ask, reply)
+      fleet.after(hopMs, answer)
+    }
+  }
+
+  function send(node: GrantNode): void {
+    const home = homeOf(node)
+    const ask = home && node.placer.nextAsk(viewOf(node))
+    if (!ask) return
+    if (home === node) deliver(node, home, ask)
+    else
+      fleet.after(hopMs, () => {
+        deliver(node, home, ask)
+      })
+    fleet.after(HOME_LIMIT_MS, () => {
+      carryOut(node.placer.expire(viewOf(node)))
+      carryOut(node.placer.failed(ask.sequence, viewOf(node)))
+    })
+  }
+
+  function collect(node: GrantNode, { to, ask }: CollectCall): void {
+    const peer = nodes.find(({ router }) => router === to)
+    if (!peer || !isAlive(peer) || homeSilent) return
+    fleet.after(peer === node ? 0 : hopMs, () => {
+      const reply = peer.holder.collect(ask)
+      fleet.after(peer === node ? 0 : hopMs, () => {
+        node.home.collected(reply, fleet.nowMs)
+      })
+    })
+  }
+
+  function tick(node: GrantNode): void {
+    if (!isAlive(node)) return
+    const routers = fleet
+      .liveRouters(node.self)
+      .map((router) => `router-${router}`)
+    const { epoch } = node.holder
+    const home = homeOf(node)?.router
+    for (const call of node.home.update({
+      home,
+      routers,
+      epoch,
+      nowMs: fleet.nowMs,
+    }))
+      collect(node, call)
+    send(node)
+    fleet.after(TICK_MS, () => {
+      tick(node)
+    })
+  }
+
+  function digest(): void {
+    const counts = nodes.map(({ holder }) => [...holder.used])
+    for (const node of nodes) {
+      const live = fleet.liveRouters(node.self)
+      const known = members.map((_, index) => {
+        let total = 0
+        for (const router of live) total += counts[router]?.[index] ?? 0
+        return total
+      })
+      node.shares.refresh({
+        routers: live.map((router) => `router-${router}`),
+        known,
+        ageMs: DIGEST_EVERY_MS / 2,
+        maxAgeMs: DIGEST_MAX_AGE_MS,
+        maxLoadFactor: fleet.maxLoadFactor,
+        eligible: (index) => eligible(node, index),
+      })
+    }
+    fleet.after(DIGEST_EVERY_MS, digest)
+  }
+
+  fleet.after(0, digest)
+  for (const node of nodes)
+    fleet.after((TICK_MS * node.self) / nodes.length, () => {
+      tick(node)
+    })
+
+  return {
+    place(arrival: Arrival): void {
+      const node = nodes[arrival.router]
+      if (!node) return
+      placing.set(arrival.id, arrival)
+      const hinted = hints ? fleet.callerHint(arrival) : undefined
+      const hint = hinted === undefined ? undefined : indexOf.get(hinted)
+      const want = { key: arrival.chat, hint, exclude: [] }
+      const placed = node.placer.request(arrival.id, want, viewOf(node))
+      if (placed) carryOut([placed])
+      else {
+        send(node)
+        fleet.after(HOME_LIMIT_MS, () => {
+          carryOut(node.placer.expire(viewOf(node)))
+        })
+      }
+    },
+    ended(arrival: Arrival, target: number): void {
+      const node = nodes[arrival.router]
+      if (!node) return
+      node.placer.finished(indexOf.get(target) ?? -1)
+      send(node)
+    },
+  }
+}
