Place requests by grants of the group's home router

The daemon chose by late load reports and its own counts alone. Each router now asks the home of a target group for a place over tRPC, waits for it at most routing.homeLimitMs, and then takes its own share of the free load levels by the digests of the heartbeats. Answers carry a signed affinity hint; homes read load reports and cache events of their own targets only. Epochs are unique to a home, so that two routers that each believed to be alone cannot agree by chance.

Excluded: asking at a fixed limit in the samples, where processes that have just started need more than 5 ms for their first calls.

--- a/packages/core/src/node/routing/constants.ts
+++ b/packages/core/src/node/routing/constants.ts
@@ -20,3 +20,5 @@
 export const LOAD_MARGIN_REQUESTS = 2
 /** Milliseconds that a home remembers held places to judge late reports. */
 export const REPORT_LAG_MS = 3_000
+/** Requests in flight up to which the home hears of each fall at once. */
+export const SMALL_LOAD = 4
--- a/packages/core/src/node/routing/createGrantHolder.ts
+++ b/packages/core/src/node/routing/createGrantHolder.ts
@@ -1,4 +1,9 @@
-import { CREDIT_VALID_MS, RETURN_AT_FALL, RETURN_MS } from './constants.js'
+import {
+  CREDIT_VALID_MS,
+  RETURN_AT_FALL,
+  RETURN_MS,
+  SMALL_LOAD,
+} from './constants.js'
 import type {
   CollectAsk,
   CollectReply,
@@ -30,7 +35,7 @@
   /** Counts a request that ended. */
   finish(index: number): void
   /** Whether the home should hear of the changes although nobody waits. */
-  returnDue(nowMs: number): boolean
+  returnDue(nowMs: number, isHome: boolean): boolean
   ask(wants: readonly PlaceWant[], nowMs: number): GrantAsk
   /** Takes in the answer to the last message; undefined when it is too late. */
   answer(sequence: number, reply: GrantReply): readonly number[] | undefined
@@ -49,7 +54,8 @@
   let epoch = 0
   let sequence = 0
   let finished = 0
-  let changed = false
+  // The home first hears of this router before it has anything in flight.
+  let changed = true
   let total = 0
   let toldTotal = 0
   let pending: { readonly sequence: number; readonly atMs: number } | undefined
@@ -107,9 +113,11 @@
       addUsed(index, -1)
       finished += 1
     },
-    returnDue(nowMs) {
+    returnDue(nowMs, isHome) {
       expireCredits(nowMs)
-      if (toldTotal - total >= RETURN_AT_FALL) return true
+      if (isHome) return changed
+      const fall = toldTotal <= SMALL_LOAD ? 1 : RETURN_AT_FALL
+      if (toldTotal - total >= fall) return true
       return changed && nowMs - lastAskMs >= RETURN_MS
     },
     ask(wants, nowMs) {
@@ -140,7 +148,10 @@
       pending = undefined
       if (reply.epoch < epoch) return undefined
       adopt(reply.epoch)
-      if (reply.status !== GrantStatus.Granted) return undefined
+      if (reply.status !== GrantStatus.Granted) {
+        changed = true
+        return undefined
+      }
       const changedBefore = changed
       for (const index of reply.granted) {
         if (index < 0) continue
@@ -157,8 +168,8 @@
     },
     collect(ask) {
       const accepted =
-        ask.membersHash === group.membersHash && ask.epoch > epoch
-      if (accepted) {
+        ask.membersHash === group.membersHash && ask.epoch >= epoch
+      if (accepted && ask.epoch > epoch) {
         adopt(ask.epoch)
         pending = undefined
       }
--- a/packages/core/src/node/routing/createGrantLedger.ts
+++ b/packages/core/src/node/routing/createGrantLedger.ts
@@ -32,8 +32,6 @@
   readonly epoch: number
   /** Routers whose counts must come in before places are granted. */
   readonly missing: Set<string>
-  /** Grants whose target was over the bound by the home's own count. */
-  readonly forced: number
   collected(reply: CollectReply, nowMs: number): void
   ask(ask: GrantAsk, view: LedgerView): GrantReply
   /** Drops what a router held that is gone. */
@@ -57,7 +55,6 @@
   const missing = new Set<string>()
   const book = createAccountBook(size)
   const reports = createReportWindow(size)
-  let forced = 0
 
   const zeros = (): number[] => new Array<number>(size).fill(0)
 
@@ -94,18 +91,33 @@
     view: LedgerView,
   ): number {
     const limit = view.maxLoadFactor * meanLoad(view, 1)
-    let least = -1
-    let leastLoad = Infinity
     for (const { index, weight } of orderOf(want)) {
       if (!view.eligible(index) || want.exclude.includes(index)) continue
-      const load = (held[index] ?? 0) / weight
-      if (load <= limit) return index
-      if (load >= leastLoad) continue
+      if ((held[index] ?? 0) <= limit * weight) return index
+    }
+    return leastHeld(want, held, view)
+  }
+
+  // The lower estimate is too low for a few requests on a few targets; then the
+  // least loaded target is within the bound by the counts as they stand.
+  function leastHeld(
+    want: PlaceWant,
+    held: readonly number[],
+    view: LedgerView,
+  ): number {
+    let least = -1
+    let lowest = Infinity
+    let total = 1
+    for (const { index, weight } of members) {
+      if (!view.eligible(index)) continue
+      const load = held[index] ?? 0
+      total += load
+      if (want.exclude.includes(index) || load / weight >= lowest) continue
       least = index
-      leastLoad = load
+      lowest = load / weight
     }
-    if (least >= 0) forced += 1
-    return least
+    const mean = total / Math.max(weightOf(view), Number.EPSILON)
+    return lowest <= view.maxLoadFactor * mean ? least : -1
   }
 
   function grant(ask: GrantAsk, view: LedgerView): number[] {
@@ -171,9 +183,6 @@
   return {
     epoch,
     missing,
-    get forced() {
-      return forced
-    },
     collected(reply, nowMs) {
       const { router, incarnation, used } = reply
       missing.delete(router)
--- a/packages/core/src/node/routing/createGroupHome.ts
+++ b/packages/core/src/node/routing/createGroupHome.ts
@@ -1,3 +1,4 @@
+import { hash32 } from '../hash/hash32.js'
 import {
   createGrantLedger,
   type GrantLedger,
@@ -47,15 +48,18 @@
   ask(ask: GrantAsk, view: LedgerView): GrantReply
   /** Whether this router grants places now. */
   readonly granting: boolean
-  readonly forced: number
   status(view: LedgerView): LedgerStatus[]
 }
 
 /** Milliseconds between two tries to collect a router's counts. */
 const COLLECT_RETRY_MS = 200
-/** Milliseconds that an outbid home waits before it tries again. */
-const OUTBID_WAIT_MS = 1_000
-
+/** Milliseconds that a home waits after it was outbid; doubles each time. */
+const OUTBID_WAIT_MS = 100
+const MAX_OUTBID_WAIT_MS = 5_000
+/** Milliseconds of granting after which earlier outbids are forgotten. */
+const CALM_MS = 10_000
+/** Epochs of one home are this far apart; no two homes use the same one. */
+const EPOCH_STEP = 65_536
 /** Milliseconds without a message until a router outside the view is gone. */
 const FORGET_AFTER_MS = 2_000
 
@@ -65,22 +69,28 @@
   let ledger: GrantLedger | undefined
   let highestEpoch = 0
   let closedUntilMs = -Infinity
+  let openedAtMs = -Infinity
+  let outbids = 0
   let collectedAtMs = -Infinity
-  let forcedBefore = 0
 
   function end(): void {
-    forcedBefore += ledger?.forced ?? 0
     ledger = undefined
   }
 
   function outbid(epoch: number, nowMs: number): void {
     highestEpoch = Math.max(highestEpoch, epoch)
-    closedUntilMs = nowMs + OUTBID_WAIT_MS
+    if (nowMs - openedAtMs >= CALM_MS) outbids = 0
+    const waitMs = OUTBID_WAIT_MS * 2 ** outbids
+    closedUntilMs = nowMs + Math.min(MAX_OUTBID_WAIT_MS, waitMs)
+    outbids += 1
     end()
   }
 
   function open(view: HomeView): GrantLedger {
-    highestEpoch = Math.max(highestEpoch, view.epoch) + 1
+    const heard = Math.max(highestEpoch, view.epoch)
+    const turn = Math.floor(heard / EPOCH_STEP) + 1
+    highestEpoch = turn * EPOCH_STEP + (hash32(router) % EPOCH_STEP)
+    openedAtMs = view.nowMs
     collectedAtMs = -Infinity
     return createGrantLedger({ group, epoch: highestEpoch, loanSize })
   }
@@ -130,9 +140,6 @@
     get granting() {
       return ledger?.missing.size === 0
     },
-    get forced() {
-      return forcedBefore + (ledger?.forced ?? 0)
-    },
     status: (view) => ledger?.status(view) ?? [],
   }
 }
--- a/packages/core/src/node/routing/createGroupPlacer.ts
+++ b/packages/core/src/node/routing/createGroupPlacer.ts
@@ -1,6 +1,7 @@
 import type { GrantHolder } from './createGrantHolder.js'
 import type { LevelShares } from './createLevelShares.js'
 import type { GrantAsk, GrantReply, PlaceWant } from './grantMessages.js'
+import { GrantStatus } from './grantStatus.js'
 import { PlaceSource } from './placeSource.js'
 import { rendezvousOrder } from './rendezvousOrder.js'
 import type { TargetGroup } from './targetGroup.js'
@@ -19,6 +20,8 @@
   readonly nowMs: number
   /** Whether there is a home to ask. */
   readonly homeKnown: boolean
+  /** Whether this router is the home itself. */
+  readonly isHome: boolean
   eligible(index: number): boolean
 }
 
@@ -61,6 +64,9 @@
 /** Milliseconds for which a silent home is not asked again. */
 const SILENT_HOME_MS = 250
 
+/** Milliseconds after which a home that was not ready is asked again. */
+export const HOME_RETRY_MS = 1
+
 /** Creates the placer of one group. */
 export function createGroupPlacer(options: GroupPlacerOptions): GroupPlacer {
   const { group, holder, shares, homeLimitMs } = options
@@ -73,6 +79,7 @@
   let asked: Waiting[] = []
   let askedSequence: number | undefined
   let silentUntilMs = -Infinity
+  let retryAtMs = -Infinity
 
   function* candidates(want: PlaceWant, view: PlacerView): Iterable<number> {
     const usable = (index: number): boolean =>
@@ -96,20 +103,14 @@
       holder.take(index)
       return { requestId, index, source: PlaceSource.Share, waitedMs }
     }
-    const index = leastLoaded(want, view)
-    if (index === undefined)
+    const index = shares.roomiest(want.exclude)
+    if (index === undefined || !view.eligible(index))
       return { requestId, index: -1, source: PlaceSource.None, waitedMs }
     shares.take(index)
     holder.take(index)
     return { requestId, index, source: PlaceSource.Forced, waitedMs }
   }
 
-  function leastLoaded(want: PlaceWant, view: PlacerView): number | undefined {
-    const index = shares.leastLoaded(want.exclude)
-    if (index !== undefined && view.eligible(index)) return index
-    return preferred(want, view)
-  }
-
   function endAsk(): Waiting[] {
     const ended = asked
     asked = []
@@ -148,7 +149,8 @@
     },
     nextAsk(view) {
       if (askedSequence !== undefined || !usable(view)) return undefined
-      if (waiting.length === 0 && !holder.returnDue(view.nowMs))
+      if (view.nowMs < retryAtMs) return undefined
+      if (waiting.length === 0 && !holder.returnDue(view.nowMs, view.isHome))
         return undefined
       asked = waiting
       waiting = []
@@ -162,17 +164,21 @@
     answered(sequence, reply, view) {
       if (sequence !== askedSequence) return []
       const granted = holder.answer(sequence, reply)
-      return endAsk().map((entry, position) => {
-        const index = granted?.[position] ?? -1
-        if (index < 0) return withoutHome(entry, view)
-        shares.take(index)
-        const waitedMs = view.nowMs - entry.sinceMs
-        return {
-          requestId: entry.requestId,
-          index,
-          source: PlaceSource.Grant,
-          waitedMs,
-        }
+      const answered = endAsk()
+      if (!granted && reply.status === GrantStatus.ViewsDiffer)
+        return answered.map((entry) => withoutHome(entry, view))
+      if (!granted) {
+        // The home may be ready within the limit.
+        waiting = [...answered, ...waiting]
+        retryAtMs = view.nowMs + HOME_RETRY_MS
+        return []
+      }
+      return answered.map((entry, position) => {
+        const index = granted[position] ?? -1
+        if (index >= 0) shares.take(index)
+        const source = index < 0 ? PlaceSource.None : PlaceSource.Grant
+        const { requestId, sinceMs } = entry
+        return { requestId, index, source, waitedMs: view.nowMs - sinceMs }
       })
     },
     failed(sequence, view) {
--- a/packages/core/src/node/routing/createLevelShares.ts
+++ b/packages/core/src/node/routing/createLevelShares.ts
@@ -22,8 +22,11 @@
   mayTake(index: number): boolean
   /** Counts a request placed since the digests. */
   take(index: number): void
-  /** Target with the most room by the digests, for lack of a share. */
-  leastLoaded(exclude: readonly number[]): number | undefined
+  /**
+   * Target with the most room by the digests, for lack of a share; undefined
+   * when all are at the bound.
+   */
+  roomiest(exclude: readonly number[]): number | undefined
 }
 
 /**
@@ -93,15 +96,15 @@
     take: (index) => {
       taken[index] = (taken[index] ?? 0) + 1
     },
-    leastLoaded(exclude) {
+    roomiest(exclude) {
       let best: number | undefined
       let most = -Infinity
       for (const [index, { weight }] of group.members.entries()) {
         if (!eligible[index] || exclude.includes(index)) continue
         const load = (knownLoads[index] ?? 0) + (taken[index] ?? 0)
-        const room = ((bounds[index] ?? 0) - load) / weight
-        if (room <= most) continue
-        most = room
+        const room = (bounds[index] ?? 0) - load
+        if (room < 1 || room / weight <= most) continue
+        most = room / weight
         best = index
       }
       return best
--- a/packages/daemon/src/node/__tests__/startFleet.ts
+++ b/packages/daemon/src/node/__tests__/startFleet.ts
@@ -74,6 +74,8 @@
     logs: { level: 0 },
     peers: { heartbeatMs: 50 },
     targets: { reportMs: 50 },
+    // A busy machine must not push requests into the fall-back at random.
+    routing: { homeLimitMs: 500 },
     stopping: { balancerDelayMs: 0, drainTimeoutMs: 10_000 },
     ...extra,
   }
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -20,8 +20,10 @@
 import { createPeerClient } from './peers/createPeerClient.js'
 import { createPeerServer } from './peers/createPeerServer.js'
 import type { Heartbeat } from './peers/heartbeat.js'
+import { chatKey } from './routing/chatKey.js'
 import { createRouting } from './routing/createRouting.js'
 import type { ResolvedSettings } from './settings/settingsSchema.js'
+import { createCacheEventReader } from './targets/createCacheEventReader.js'
 import { createLoadReporter } from './targets/createLoadReporter.js'
 import { createTargetClient } from './targets/createTargetClient.js'
 import { createTracing } from './tracing/createTracing.js'
@@ -60,16 +62,6 @@
   const vmList = createVmListPoller(settings.vmList, logs.part('membership'))
   const vms = () => vmList.vms
 
-  const addressesOfTargets = () =>
-    Object.entries(configuration().targets).map(([id, { address }]) => ({
-      id,
-      address,
-    }))
-  const reporter = createLoadReporter(
-    addressesOfTargets,
-    settings.targets.reportMs,
-    now,
-  )
   const health = createTargetHealth({
     settings: settings.health,
     configuration,
@@ -79,7 +71,31 @@
   })
   const eligible = (targetId: string, idempotent: boolean) =>
     health.eligible(targetId, idempotent)
-  const routing = createRouting({ configuration, vms, reporter, eligible })
+  const peerClient = createPeerClient(settings.secrets.peer)
+  const routing = createRouting({
+    settings,
+    incarnation,
+    configuration,
+    vms,
+    membership: () => membership,
+    client: peerClient,
+    reporter: () => reporter,
+    cacheEvents: () => cacheEvents,
+    eligible,
+    metrics,
+    now,
+  })
+  const reporter = createLoadReporter(
+    () => routing.homeTargets(),
+    settings.targets.reportMs,
+    now,
+  )
+  const cacheEvents = createCacheEventReader({
+    targets: () => routing.homeTargets(),
+    everyMs: settings.targets.reportMs,
+    maxChats: settings.routing.indexedChats,
+    keyOf: chatKey,
+  })
   const admission = createFleetAdmission({
     settings,
     configuration,
@@ -103,7 +119,6 @@
       started: admission.startedByCustomer(),
     },
   })
-  const peerClient = createPeerClient(settings.secrets.peer)
   const membership = createMembership({
     settings,
     client: peerClient,
@@ -116,6 +131,8 @@
       membership.heard(heartbeat)
       return self()
     },
+    onGrant: (ask) => routing.onGrant(ask),
+    onCollect: (ask) => routing.onCollect(ask),
   })
 
   const targets = createWatchedTargets(
@@ -175,7 +192,9 @@
     ])
     await Promise.all([
       admin.stop(),
+      routing.stop(),
       reporter.stop(),
+      cacheEvents.stop(),
       vmList.stop(),
       membership.stop(),
       admission.stop(),
--- a/packages/daemon/src/node/peers/createPeerClient.ts
+++ b/packages/daemon/src/node/peers/createPeerClient.ts
@@ -1,4 +1,10 @@
 import { Agent } from 'node:http'
+import type {
+  CollectAsk,
+  CollectReply,
+  GrantAsk,
+  GrantReply,
+} from '@auburnbay/core'
 import { createNodeFetch, type TrafficCount } from '@auburnbay/http-utils'
 import { createTRPCClient, httpBatchLink, type TRPCClient } from '@trpc/client'
 import { PEER_CALL_TIMEOUT_MS } from '../constants.js'
@@ -12,6 +18,10 @@
   readonly traffic: TrafficCount
   /** Sends a heartbeat; rejects when the peer does not answer in time. */
   heartbeat(address: string, heartbeat: Heartbeat): Promise<Heartbeat>
+  /** Asks a group's home for places; rejects when it does not answer. */
+  grant(address: string, ask: GrantAsk): Promise<GrantReply>
+  /** Asks for a router's counts; rejects when it does not answer. */
+  collect(address: string, ask: CollectAsk): Promise<CollectReply>
   close(): void
 }
 
@@ -37,12 +47,14 @@
     return created
   }
 
+  const limited = () => ({ signal: AbortSignal.timeout(PEER_CALL_TIMEOUT_MS) })
+
   return {
     traffic,
     heartbeat: (address, heartbeat) =>
-      clientOf(address).heartbeat.mutate(heartbeat, {
-        signal: AbortSignal.timeout(PEER_CALL_TIMEOUT_MS),
-      }),
+      clientOf(address).heartbeat.mutate(heartbeat, limited()),
+    grant: (address, ask) => clientOf(address).grant.mutate(ask, limited()),
+    collect: (address, ask) => clientOf(address).collect.mutate(ask, limited()),
     close: () => {
       agent.destroy()
     },
--- a/packages/daemon/src/node/peers/peerApi.ts
+++ b/packages/daemon/src/node/peers/peerApi.ts
@@ -1,4 +1,11 @@
 import { initTRPC, TRPCError } from '@trpc/server'
+import type {
+  CollectAsk,
+  CollectReply,
+  GrantAsk,
+  GrantReply,
+} from '@auburnbay/core'
+import { collectAskSchema, grantAskSchema } from './grantSchemas.js'
 import { type Heartbeat, heartbeatSchema } from './heartbeat.js'
 
 /** What a call between routers knows of its sender. */
@@ -9,6 +16,10 @@
 /** What a router does with the calls of its peers. */
 export interface PeerHandlers {
   onHeartbeat(heartbeat: Heartbeat): Heartbeat
+  /** Takes a request for places as the home of its group. */
+  onGrant(ask: GrantAsk): GrantReply
+  /** Tells a new home what is in flight from here. */
+  onCollect(ask: CollectAsk): CollectReply
 }
 
 /** Creates the procedures that routers offer each other. */
@@ -23,6 +34,12 @@
     heartbeat: procedure
       .input(heartbeatSchema)
       .mutation(({ input }) => handlers.onHeartbeat(input)),
+    grant: procedure
+      .input(grantAskSchema)
+      .mutation(({ input }) => handlers.onGrant(input)),
+    collect: procedure
+      .input(collectAskSchema)
+      .mutation(({ input }) => handlers.onCollect(input)),
   })
 }
 
--- /dev/null
+++ b/packages/daemon/src/node/routing/createGroupTask.ts
@@ -0,0 +1,221 @@
+import {
+  type CollectAsk,
+  type CollectReply,
+  createGrantHolder,
+  createGroupHome,
+  createGroupPlacer,
+  createLevelShares,
+  type GrantAsk,
+  type GrantReply,
+  HOME_RETRY_MS,
+  type LedgerView,
+  type Placed,
+  type PlacerView,
+  type PlaceWant,
+  type TargetGroup,
+} from '@auburnbay/core'
+import type { PeerClient } from '../peers/createPeerClient.js'
+import type { FleetView } from './createFleetView.js'
+
+/** What a group's task works with. */
+export interface GroupTaskOptions {
+  readonly group: TargetGroup
+  readonly router: string
+  readonly incarnation: string
+  readonly homeLimitMs: number
+  readonly maxAgeMs: number
+  readonly view: FleetView
+  readonly client: Pick<PeerClient, 'grant' | 'collect'>
+  readonly addressOf: (router: string) => string | undefined
+  readonly now: () => number
+  readonly maxLoadFactor: () => number
+  readonly serviceMean: () => number | undefined
+  readonly eligible: (targetId: string) => boolean
+  readonly reported: (targetId: string) => number | undefined
+  /** Target that holds a chat, as far as the home knows. */
+  readonly indexed: (key: string) => string | undefined
+  /** Called for each decision. */
+  readonly onPlaced: (placed: Placed) => void
+}
+
+/** A digest of all routers for one group. */
+export interface GroupDigest {
+  /** Requests in flight by target, from all routers. */
+  readonly known: readonly number[]
+  readonly ageMs: number
+}
+
+/** One group on one router: asks the home, or is the home. */
+export interface GroupTask {
+  readonly group: TargetGroup
+  /** Whether this router grants places on the group now. */
+  readonly granting: boolean
+  place(want: PlaceWant): Promise<Placed>
+  /** Counts a request that is already in flight. */
+  adopt(index: number): void
+  finished(index: number): void
+  ask(ask: GrantAsk): GrantReply
+  collect(ask: CollectAsk): CollectReply
+  /** Takes in the view and sends what is due. */
+  update(): void
+  refresh(digest: GroupDigest): void
+}
+
+/** Creates the task of one group. */
+export function createGroupTask(options: GroupTaskOptions): GroupTask {
+  const { group, router, view, client, now } = options
+  const holder = createGrantHolder(options)
+  const shares = createLevelShares(group, router)
+  const { homeLimitMs } = options
+  const placer = createGroupPlacer({ group, holder, shares, homeLimitMs })
+  const home = createGroupHome({ group, router })
+  const waiting = new Map<number, (placed: Placed) => void>()
+  let lastRequest = 0
+
+  function eligible(index: number): boolean {
+    const id = group.members[index]?.id
+    return id !== undefined && options.eligible(id)
+  }
+
+  function placerView(): PlacerView {
+    const homeId = view.homeOf(group.id)
+    const isHome = homeId === router
+    return { nowMs: now(), homeKnown: homeId !== undefined, isHome, eligible }
+  }
+
+  function ledgerView(): LedgerView {
+    return {
+      nowMs: now(),
+      maxLoadFactor: options.maxLoadFactor(),
+      serviceMean: options.serviceMean(),
+      eligible,
+      reported: (index) => options.reported(group.members[index]?.id ?? ''),
+    }
+  }
+
+  function settle(all: readonly Placed[]): void {
+    for (const placed of all) {
+      waiting.get(placed.requestId)?.(placed)
+      waiting.delete(placed.requestId)
+    }
+  }
+
+  function withHints(ask: GrantAsk): GrantAsk {
+    const wants = ask.wants.map((want) => {
+      if (want.hint !== undefined) return want
+      const id = options.indexed(want.key)
+      const index = group.members.findIndex((member) => member.id === id)
+      return index < 0 ? want : { ...want, hint: index }
+    })
+    return { ...ask, wants }
+  }
+
+  const answerAsk = (ask: GrantAsk): GrantReply =>
+    home.ask(withHints(ask), ledgerView())
+
+  function send(): void {
+    const ask = placer.nextAsk(placerView())
+    if (!ask) return
+    const to = view.homeOf(group.id)
+    if (to === router) {
+      settle(placer.answered(ask.sequence, answerAsk(ask), placerView()))
+      sendLater()
+      return
+    }
+    const address = to === undefined ? undefined : options.addressOf(to)
+    if (address === undefined) {
+      settle(placer.failed(ask.sequence, placerView()))
+      return
+    }
+    client.grant(address, ask).then(
+      (reply) => {
+        settle(placer.answered(ask.sequence, reply, placerView()))
+        send()
+        sendLater()
+      },
+      () => {
+        settle(placer.failed(ask.sequence, placerView()))
+      },
+    )
+  }
+
+  function sendLater(): void {
+    if (waiting.size > 0) setTimeout(send, 2 * HOME_RETRY_MS)
+  }
+
+  function expire(): void {
+    settle(placer.expire(placerView()))
+    const next = placer.nextExpiryMs
+    if (next !== undefined) setTimeout(expire, Math.max(1, next - now()))
+  }
+
+  function collectFrom(to: string, ask: CollectAsk): void {
+    if (to === router) {
+      home.collected(holder.collect(ask), now())
+      return
+    }
+    const address = options.addressOf(to)
+    if (address === undefined) return
+    client.collect(address, ask).then(
+      (reply) => {
+        home.collected(reply, now())
+      },
+      () => undefined,
+    )
+  }
+
+  return {
+    group,
+    get granting() {
+      return home.granting
+    },
+    place(want) {
+      lastRequest += 1
+      const requestId = lastRequest
+      return new Promise((resolve) => {
+        const settled = (placed: Placed): void => {
+          options.onPlaced(placed)
+          resolve(placed)
+        }
+        const placed = placer.request(requestId, want, placerView())
+        if (placed) {
+          settled(placed)
+          return
+        }
+        waiting.set(requestId, settled)
+        send()
+        if (waiting.has(requestId)) setTimeout(expire, homeLimitMs)
+      })
+    },
+    adopt: (index) => {
+      holder.take(index)
+    },
+    finished(index) {
+      placer.finished(index)
+      send()
+    },
+    ask: answerAsk,
+    collect: (ask) => holder.collect(ask),
+    update() {
+      const routers = view.routers()
+      const { epoch } = holder
+      const homeId = view.homeOf(group.id)
+      const calls = home.update({ home: homeId, routers, epoch, nowMs: now() })
+      for (const { to, ask } of calls) collectFrom(to, ask)
+      send()
+    },
+    refresh({ known, ageMs }) {
+      const { maxAgeMs } = options
+      const maxLoadFactor = options.maxLoadFactor()
+      const routers = view.routers()
+      shares.refresh({
+        routers,
+        known,
+        ageMs,
+        maxAgeMs,
+        maxLoadFactor,
+        eligible,
+      })
+    },
+  }
+}
--- a/packages/daemon/src/node/routing/createRouting.ts
+++ b/packages/daemon/src/node/routing/createRouting.ts
@@ -1,132 +1,237 @@
 import {
-  chooseTarget,
   type Configuration,
   FailureCode,
-  loadBound,
-  type LoadedTarget,
-  MemberState,
-  rendezvousOrder,
+  ServiceKind,
+  signHint,
+  type TargetGroup,
   type VmEntry,
 } from '@auburnbay/core'
 import { err, ok } from 'neverthrow'
 import { createFailure } from '../callers/createFailure.js'
+import type { RoutedRequest } from '../callers/routedRequest.js'
+import type { Membership } from '../membership/createMembership.js'
+import type { Metrics } from '../metrics/metrics.js'
+import type { PeerClient } from '../peers/createPeerClient.js'
+import type { ResolvedSettings } from '../settings/settingsSchema.js'
+import type { CacheEventReader } from '../targets/createCacheEventReader.js'
 import type { LoadReporter } from '../targets/createLoadReporter.js'
-import type { Placement, Routing, TargetStatus } from './routing.js'
-import { HintSource } from './routingExplanation.js'
+import { createLoop } from '../tasks/createLoop.js'
+import { chatKey } from './chatKey.js'
+import { createExplain } from './createExplain.js'
+import { createFleetLoad } from './createFleetLoad.js'
+import { createFleetView } from './createFleetView.js'
+import { createGroupTask } from './createGroupTask.js'
+import { createGroupTasks } from './createGroupTasks.js'
+import { createInFlight } from './createInFlight.js'
+import {
+  createServiceTables,
+  type GroupedTarget,
+  type ServiceTable,
+} from './createServiceTables.js'
+import { createWant } from './createWant.js'
+import { createStatus } from './createStatus.js'
+import { homeTargets } from './homeTargets.js'
+import { findHint } from './findHint.js'
+import type { HomeRouting, Placement, Routing } from './routing.js'
 
 /** What the choice of targets works with. */
 export interface RoutingOptions {
+  readonly settings: ResolvedSettings
+  readonly incarnation: string
   readonly configuration: () => Configuration
   readonly vms: () => readonly VmEntry[]
-  readonly reporter: LoadReporter
+  readonly membership: () => Pick<Membership, 'livePeers'>
+  readonly client: Pick<PeerClient, 'grant' | 'collect'>
+  readonly reporter: () => Pick<LoadReporter, 'report'>
+  readonly cacheEvents: () => Pick<CacheEventReader, 'targetOf'>
   /** Whether a target's health lets a request go there. */
   readonly eligible: (targetId: string, idempotent: boolean) => boolean
-}
-
-interface RoutedTarget extends LoadedTarget {
-  readonly service: string
-  readonly address: string
+  readonly metrics: Metrics
+  readonly now: () => number
 }
 
 const RETRY_AFTER_S = 1
+/** Groups that a request tries before it waits. */
+const MAX_GROUPS = 3
+const UPDATE_MS = 100
 
-/** Creates routing by bounded weighted rendezvous hashing. */
-export function createRouting(options: RoutingOptions): Routing {
-  const ownInFlight = new Map<string, number>()
+/** Creates routing by grants of each group's home router. */
+export function createRouting(options: RoutingOptions): HomeRouting {
+  const { settings, incarnation, configuration, membership, metrics, now } =
+    options
+  const router = settings.router.id
+  const tables = createServiceTables(configuration)
+  const inFlight = createInFlight()
+  const load = createFleetLoad(inFlight, membership)
+  const { maxVanished } = settings.routing
+  const { vms } = options
+  const view = createFleetView({
+    router,
+    configuration,
+    vms,
+    membership,
+    maxVanished,
+    now,
+  })
+  let refreshedAtMs = -Infinity
+
+  const eligible = (id: string): boolean =>
+    view.listed(id) && options.eligible(id, true)
+
+  function addressOf(peer: string): string | undefined {
+    return membership()
+      .livePeers()
+      .find(({ id }) => id === peer)?.address
+  }
 
-  function load(id: string): number {
-    const reported = options.reporter.report(id)?.inFlight ?? 0
-    return Math.max(reported, ownInFlight.get(id) ?? 0)
+  function maxLoadFactor(service: string): number {
+    return configuration().services[service]?.maxLoadFactor ?? 1
   }
 
-  function targetsOf(service: string): RoutedTarget[] {
-    const leaving = new Set<string>()
-    for (const vm of options.vms())
-      if (vm.state === MemberState.Leaving) leaving.add(vm.id)
-    const found: RoutedTarget[] = []
-    const { targets } = options.configuration()
-    for (const [id, target] of Object.entries(targets)) {
-      if (target.service !== service || leaving.has(id)) continue
-      const { address, weight } = target
-      found.push({ id, service, address, weight, load: load(id) })
+  function serviceMean(service: string): number | undefined {
+    const table = tables.tableOf(service)
+    if (!table || table.groups.length < 2) return undefined
+    return load.mean(table, eligible)
+  }
+
+  const tasks = createGroupTasks(router, incarnation, (group) => {
+    const { service, membersHash } = group
+    const task = createGroupTask({
+      group,
+      router,
+      incarnation: `${incarnation}/${membersHash.toString(36)}`,
+      homeLimitMs: settings.routing.homeLimitMs,
+      maxAgeMs: settings.peers.timeoutMs,
+      view,
+      client: options.client,
+      addressOf,
+      now,
+      maxLoadFactor: () => maxLoadFactor(service),
+      serviceMean: () => serviceMean(service),
+      eligible,
+      reported: (id) => options.reporter().report(id)?.inFlight,
+      indexed: (key) => options.cacheEvents().targetOf(key),
+      onPlaced: ({ source, waitedMs }) => {
+        metrics.count('placements', 1, { service, source })
+        metrics.timing('decision_wait', waitedMs, { service })
+      },
+    })
+    for (const [index, { id }] of group.members.entries())
+      for (let count = inFlight.of(id); count > 0; count -= 1) task.adopt(index)
+    return task
+  })
+
+  function refresh(): void {
+    load.update()
+    for (const task of tasks.all()) {
+      const known = task.group.members.map(({ id }) => load.of(id))
+      task.refresh({ known, ageMs: load.ageMs() })
     }
-    return found
+    refreshedAtMs = now()
   }
 
-  function hold(target: RoutedTarget): Placement {
+  function update(): void {
+    const all = tables.all()
+    view.update(all)
+    const groups = all.flatMap((table) => table.groups)
+    tasks.keep(groups)
+    for (const group of groups) tasks.of(group).update()
+    if (now() - refreshedAtMs >= settings.peers.heartbeatMs) refresh()
+  }
+
+  function hold(
+    request: RoutedRequest,
+    target: GroupedTarget,
+    group: TargetGroup,
+  ): Placement {
     let released = false
-    const add = (change: number): void => {
-      ownInFlight.set(target.id, (ownInFlight.get(target.id) ?? 0) + change)
-    }
-    add(1)
+    inFlight.add(target.id, 1)
+    // A task made while the request waited has not counted it.
+    const current = tables.target(target.id)
+    if (current && current.group.membersHash !== group.membersHash)
+      tasks.of(current.group).adopt(current.index)
+    const { customer, service, chat, serviceKind } = request
+    const owner = { customer, service, chat }
+    const hinted = serviceKind === ServiceKind.Model && chat !== ''
     return {
       target,
+      hint: hinted
+        ? signHint(settings.secrets.hint, owner, target.id)
+        : undefined,
       release: () => {
         if (released) return
         released = true
-        add(-1)
+        inFlight.add(target.id, -1)
+        const now = tables.target(target.id)
+        if (now) tasks.of(now.group).finished(now.index)
       },
     }
   }
 
-  function status(): TargetStatus[] {
-    const { services } = options.configuration()
-    return Object.entries(services).flatMap(([service, { maxLoadFactor }]) => {
-      const targets = targetsOf(service)
-      const bound = loadBound(targets, maxLoadFactor)
-      return targets.map(({ id, address, load }) => ({
-        id,
-        service,
-        address,
-        load,
-        bound,
-      }))
-    })
+  function groupsFor(
+    table: ServiceTable,
+    key: string,
+    hint?: GroupedTarget,
+  ): TargetGroup[] {
+    if (table.groups.length === 1) return [...table.groups]
+    const mean = load.mean(table, eligible)
+    const factor = maxLoadFactor(table.service)
+    const first: TargetGroup[] = hint ? [hint.group] : []
+    for (const group of table.ring.groupsOf(key)) {
+      if (first.length >= MAX_GROUPS) break
+      if (first.includes(group) || !load.hasRoom(group, mean, factor)) continue
+      first.push(group)
+    }
+    return first
   }
 
-  function explain(service: string, customer: string, chat: string) {
-    const targets = targetsOf(service)
-    const factor = options.configuration().services[service]?.maxLoadFactor ?? 1
-    const bound = loadBound(targets, factor)
-    const candidates = rendezvousOrder(chat, targets).map(({ id, load }) => ({
-      id,
-      load,
-      bound,
-      eligible: options.eligible(id, false),
-    }))
-    const chosen = candidates.find(
-      ({ load, eligible }) => eligible && load + 1 <= bound,
-    )?.id
-    const hintSource = HintSource.None
-    return { service, customer, chat, hintSource, candidates, chosen }
+  async function place(request: RoutedRequest, excluded: ReadonlySet<string>) {
+    const table = tables.tableOf(request.service)
+    if (view.routers().length === 0 || refreshedAtMs === -Infinity) update()
+    const key = chatKey(request.chat === '' ? request.id : request.chat)
+    const hinted = findHint(settings.secrets.hint, request)
+    const hint = hinted === undefined ? undefined : table?.targets.get(hinted)
+    for (const group of table ? groupsFor(table, key, hint) : []) {
+      const barred = (id: string): boolean =>
+        excluded.has(id) || !options.eligible(id, request.idempotent)
+      const want = createWant(group, key, hint, barred)
+      const placed = await tasks.of(group).place(want)
+      const id = group.members[placed.index]?.id ?? ''
+      const target = table?.targets.get(id)
+      if (target) return ok(hold(request, target, group))
+    }
+    const message = `no target of ${request.service} can take the request`
+    return err(
+      createFailure(FailureCode.NoTarget, message, undefined, RETRY_AFTER_S),
+    )
   }
 
+  const explain: Routing['explain'] = createExplain({
+    tables,
+    load,
+    view,
+    eligible,
+    maxLoadFactor,
+    indexed: (key) => options.cacheEvents().targetOf(key),
+  })
+
+  const loop = createLoop(
+    () => {
+      update()
+      return Promise.resolve()
+    },
+    Math.min(UPDATE_MS, settings.peers.heartbeatMs),
+    () => undefined,
+  )
+
   return {
-    status,
+    place,
+    status: createStatus({ tables, load, eligible, maxLoadFactor }),
     explain,
-    ownInFlight: () => Object.fromEntries(ownInFlight),
-    place(request, exclude) {
-      const targets = targetsOf(request.service).filter(
-        ({ id }) =>
-          !exclude.has(id) && options.eligible(id, request.idempotent),
-      )
-      const key = request.chat === '' ? request.id : request.chat
-      const factor =
-        options.configuration().services[request.service]?.maxLoadFactor ?? 1
-      const chosen = chooseTarget(key, targets, factor)
-      const target = targets.find((candidate) => candidate.id === chosen?.id)
-      if (target) return Promise.resolve(ok(hold(target)))
-      const message = `no target of ${request.service} can take the request`
-      return Promise.resolve(
-        err(
-          createFailure(
-            FailureCode.NoTarget,
-            message,
-            undefined,
-            RETRY_AFTER_S,
-          ),
-        ),
-      )
-    },
+    ownInFlight: () => inFlight.all(),
+    onGrant: (ask) => tasks.onGrant(ask),
+    onCollect: (ask) => tasks.onCollect(ask),
+    homeTargets: () => homeTargets(configuration, tables, view, router),
+    stop: () => loop.stop(),
   }
 }
--- /dev/null
+++ b/packages/daemon/src/node/routing/createWant.ts
@@ -0,0 +1,15 @@
+import type { PlaceWant, TargetGroup } from '@auburnbay/core'
+import type { GroupedTarget } from './createServiceTables.js'
+
+/** Creates what a request asks of a group. */
+export function createWant(
+  group: TargetGroup,
+  key: string,
+  hint: GroupedTarget | undefined,
+  barred: (targetId: string) => boolean,
+): PlaceWant {
+  const exclude: number[] = []
+  for (const [index, { id }] of group.members.entries())
+    if (barred(id)) exclude.push(index)
+  return { key, hint: hint?.group === group ? hint.index : undefined, exclude }
+}
--- /dev/null
+++ b/packages/daemon/src/node/routing/findHint.ts
@@ -0,0 +1,12 @@
+import { readHint, ServiceKind } from '@auburnbay/core'
+import type { RoutedRequest } from '../callers/routedRequest.js'
+
+/** Returns the target that a request's own genuine hint names. */
+export function findHint(
+  secret: string,
+  request: RoutedRequest,
+): string | undefined {
+  const { customer, service, chat, hint, serviceKind } = request
+  if (serviceKind !== ServiceKind.Model || chat === '') return undefined
+  return readHint(secret, { customer, service, chat }, hint)
+}
--- /dev/null
+++ b/packages/daemon/src/node/routing/homeTargets.ts
@@ -0,0 +1,20 @@
+import { type Configuration, ServiceKind } from '@auburnbay/core'
+import type { FleetView } from './createFleetView.js'
+import type { GroupedTarget, ServiceTables } from './createServiceTables.js'
+
+/** Lists the engines of the groups that `router` is the home of. */
+export function homeTargets(
+  configuration: () => Configuration,
+  tables: ServiceTables,
+  view: FleetView,
+  router: string,
+): GroupedTarget[] {
+  const { services } = configuration()
+  const found: GroupedTarget[] = []
+  for (const { service, targets } of tables.all()) {
+    if (services[service]?.kind !== ServiceKind.Model) continue
+    for (const target of targets.values())
+      if (view.homeOf(target.group.id) === router) found.push(target)
+  }
+  return found
+}
--- a/packages/daemon/src/node/routing/routing.ts
+++ b/packages/daemon/src/node/routing/routing.ts
@@ -1,4 +1,10 @@
-import type { RequestFailure } from '@auburnbay/core'
+import type {
+  CollectAsk,
+  CollectReply,
+  GrantAsk,
+  GrantReply,
+  RequestFailure,
+} from '@auburnbay/core'
 import type { Result } from 'neverthrow'
 import type { RoutedRequest } from '../callers/routedRequest.js'
 import type { TargetAddress } from '../targets/targetClient.js'
@@ -36,3 +42,12 @@
   /** Requests in flight from this router, by target. */
   ownInFlight(): Record<string, number>
 }
+
+/** Routing that also serves other routers as the home of groups. */
+export interface HomeRouting extends Routing {
+  onGrant(ask: GrantAsk): GrantReply
+  onCollect(ask: CollectAsk): CollectReply
+  /** Targets of the groups that this router is the home of. */
+  homeTargets(): readonly TargetAddress[]
+  stop(): Promise<void>
+}
--- a/packages/daemon/src/node/settings/settingsSchema.ts
+++ b/packages/daemon/src/node/settings/settingsSchema.ts
@@ -68,8 +68,8 @@
       firstByteTimeoutMs: positiveMs.default(30_000),
       /** Milliseconds between two bytes of an answer. @default 10000 */
       idleTimeoutMs: positiveMs.default(10_000),
-      /** Milliseconds between two load reports. @default 500 */
-      reportMs: positiveMs.default(500),
+      /** Milliseconds between two load reports. @default 2000 */
+      reportMs: positiveMs.default(2_000),
     })
     .prefault({}),
   queue: z
@@ -110,6 +110,16 @@
       maxEjectedShare: z.number().min(0).max(1).default(0.5),
     })
     .prefault({}),
+  routing: z
+    .strictObject({
+      /** Milliseconds that a request waits for its group's home. @default 5 */
+      homeLimitMs: positiveMs.default(5),
+      /** Chats whose target the home remembers from cache events. @default 100000 */
+      indexedChats: z.int().positive().default(100_000),
+      /** Share of a service's targets that may vanish at once. @default 0.5 */
+      maxVanished: z.number().min(0).max(1).default(0.5),
+    })
+    .prefault({}),
   peers: z
     .strictObject({
       /** @default 500 */
--- a/playground/corrib/src/node/settings.ts
+++ b/playground/corrib/src/node/settings.ts
@@ -29,6 +29,8 @@
     vmList: { url: urls.vmList, pollMs: 100 },
     secrets: sampleSecrets,
     peers: { heartbeatMs: 100 },
+    // Processes that have just started answer their first calls slowly.
+    routing: { homeLimitMs: 500 },
     stopping: { balancerDelayMs: 100 },
   }
   const path = join(folder, `${id}.json`)
