--- a/packages/daemon/src/node/callers/createDispatcher.ts
+++ b/packages/daemon/src/node/callers/createDispatcher.ts
@@ -1,14 +1,16 @@
 import type { ServerResponse } from 'node:http'
 import type { Context } from '@opentelemetry/api'
-import { type RequestFailure, Verdict } from '@auburnbay/core'
+import { combineVerdicts, type RequestFailure, Verdict } from '@auburnbay/core'
 import { err, ok, type Result } from 'neverthrow'
 import type { Admission } from '../admission/admission.js'
 import type { Retries } from '../limits/createRetries.js'
+import type { Metrics } from '../metrics/metrics.js'
 import type { Routing } from '../routing/routing.js'
 import type { TargetClient } from '../targets/targetClient.js'
 import { Hop, type Tracing } from '../tracing/createTracing.js'
 import { type Attempt, createAttempt } from './createAttempt.js'
-import { relayReply } from './relayReply.js'
+import { createRelay } from './createRelay.js'
+import { limitToDeadline } from './limitToDeadline.js'
 import type { RoutedRequest } from './routedRequest.js'
 
 /** The parts that a request passes through. */
@@ -18,6 +20,7 @@
   readonly targets: TargetClient
   readonly tracing: Tracing
   readonly retries: Retries
+  readonly metrics: Metrics
 }
 
 /** Takes checked requests to targets and their answers back. */
@@ -36,42 +39,55 @@
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { admission, tracing, retries } = options
   const tryOnce = createAttempt(options)
+  const relay = createRelay(options)
 
   async function attempt(
     request: RoutedRequest,
     parent: Context,
   ): Promise<Result<Attempt, RequestFailure>> {
     const exclude = new Set<string>()
-    let mayHaveRun = false
+    let verdict = Verdict.NotRun
     retries.firstTry(request)
     for (let tries = 1; ; tries += 1) {
-      const result = await tryOnce(request, exclude, parent)
+      const result = await tryOnce(request, exclude, parent, tries > 1)
       if (result.isOk()) return result
-      mayHaveRun ||= result.error.verdict !== Verdict.NotRun
+      verdict = combineVerdicts(verdict, result.error.verdict)
       if (tries < MAX_TRIES && retries.take(request, result.error)) continue
-      const verdict = mayHaveRun ? Verdict.MayHaveRun : result.error.verdict
       return err({ ...result.error, verdict })
     }
   }
 
+  async function dispatchInTime(
+    request: RoutedRequest,
+    res: ServerResponse,
+    parent: Context,
+  ): Promise<Result<void, RequestFailure>> {
+    const queueing = tracing.start(Hop.Queue, parent, { rank: request.rank })
+    const admitted = await admission.enter(request)
+    queueing.end(admitted.isErr() ? admitted.error.message : undefined)
+    if (admitted.isErr()) return err(admitted.error)
+    try {
+      const result = await attempt(request, parent)
+      if (result.isErr()) return err(result.error)
+      const { placement, reply } = result.value
+      try {
+        await relay({ request, res, placement, reply, parent })
+      } finally {
+        placement.release()
+      }
+      return ok(undefined)
+    } finally {
+      admitted.value.release()
+    }
+  }
+
   return {
-    async dispatch(request, res, parent) {
-      const queueing = tracing.start(Hop.Queue, parent, { rank: request.rank })
-      const admitted = await admission.enter(request)
-      queueing.end(admitted.isErr() ? admitted.error.message : undefined)
-      if (admitted.isErr()) return err(admitted.error)
+    async dispatch(original, res, parent) {
+      const limited = limitToDeadline(original)
       try {
-        const result = await attempt(request, parent)
-        if (result.isErr()) return err(result.error)
-        const { placement, reply } = result.value
-        try {
-          await relayReply(res, placement, reply)
-        } finally {
-          placement.release()
-        }
-        return ok(undefined)
+        return await dispatchInTime(limited.request, res, parent)
       } finally {
-        admitted.value.release()
+        limited.release()
       }
     },
   }
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -151,6 +151,7 @@
     targets,
     tracing,
     retries: createRetries(settings.retries, metrics, Date.now),
+    metrics,
   })
   const callers = await createCallerServer({
     settings,
