--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -23,8 +23,10 @@
 import { createPeerClient } from './peers/createPeerClient.js'
 import { createPeerServer } from './peers/createPeerServer.js'
 import type { Heartbeat } from './peers/heartbeat.js'
+import { chatKey } from './routing/chatKey.js'
 import { createRouting } from './routing/createRouting.js'
 import type { ResolvedSettings } from './settings/settingsSchema.js'
+import { createCacheEventReader } from './targets/createCacheEventReader.js'
 import { createLoadReporter } from './targets/createLoadReporter.js'
 import { createTargetClient } from './targets/createTargetClient.js'
 import { createTracing } from './tracing/createTracing.js'
@@ -78,16 +80,6 @@
   })
   const vms = () => vmList.vms
 
-  const addressesOfTargets = () =>
-    Object.entries(configuration().targets).map(([id, { address }]) => ({
-      id,
-      address,
-    }))
-  const reporter = createLoadReporter(
-    addressesOfTargets,
-    settings.targets.reportMs,
-    now,
-  )
   const health = createTargetHealth({
     settings: settings.health,
     configuration,
@@ -97,7 +89,30 @@
   })
   const eligible = (targetId: string, idempotent: boolean) =>
     health.eligible(targetId, idempotent)
-  const routing = createRouting({ configuration, vms, reporter, eligible })
+  const routing = createRouting({
+    settings,
+    incarnation,
+    configuration,
+    vms,
+    membership: () => membership,
+    client: peerClient,
+    reporter: () => reporter,
+    cacheEvents: () => cacheEvents,
+    eligible,
+    metrics,
+    now,
+  })
+  const reporter = createLoadReporter(
+    () => routing.homeTargets(),
+    settings.targets.reportMs,
+    now,
+  )
+  const cacheEvents = createCacheEventReader({
+    targets: () => routing.homeTargets(),
+    everyMs: settings.targets.reportMs,
+    maxChats: settings.routing.indexedChats,
+    keyOf: chatKey,
+  })
   const admission = createFleetAdmission({
     settings,
     configuration,
@@ -140,6 +155,8 @@
       return self()
     },
     onConfigurationSince: (since) => tailer.transfer(since),
+    onGrant: (ask) => routing.onGrant(ask),
+    onCollect: (ask) => routing.onCollect(ask),
   })
 
   const targets = createWatchedTargets(
@@ -200,7 +217,9 @@
     ])
     await Promise.all([
       admin.stop(),
+      routing.stop(),
       reporter.stop(),
+      cacheEvents.stop(),
       vmList.stop(),
       membership.stop(),
       admission.stop(),
