Tell a passed deadline from a caller that went away

Cause: the deadline now aborts the request's signal, a moment before the queue's own timer, so an expired request was told that its caller had gone, and was counted so. Change: the abort carries its reason; the queue and the wait for a place read it. The concurrency of a service is worked out at most every 50 ms, not for each request.

--- a/packages/daemon/src/node/admission/__tests__/createServiceQueue.test.ts
+++ b/packages/daemon/src/node/admission/__tests__/createServiceQueue.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { setImmediate as turn } from 'node:timers/promises'
+import { DeadlinePassed } from '../../callers/deadlinePassed.js'
 import { resolveSettings } from '../../settings/resolveSettings.js'
 import { createServiceQueue, type Release } from '../createServiceQueue.js'
 
@@ -108,4 +109,17 @@
     gone.abort()
     await turn()
   })
+
+  it('tells a passed deadline from a caller that went away', async () => {
+    for (const [reason, expected] of [
+      [new DeadlinePassed(), 'expired'],
+      [undefined, 'caller-gone'],
+    ] as const) {
+      const { failures, gone, enterMany } = setUp()
+      await enterMany(5, PLACES - RESERVED + 1)
+      gone.abort(reason)
+      await turn()
+      assert.deepEqual(failures, [expected])
+    }
+  })
 })
--- a/packages/daemon/src/node/admission/__tests__/queueing.test.ts
+++ b/packages/daemon/src/node/admission/__tests__/queueing.test.ts
@@ -104,6 +104,7 @@
     const late = await call('late', { [DEADLINE_HEADER]: '60' }).answer
     assert.equal(late?.status, 504)
     assert.equal(late.headers[VERDICT_HEADER], 'not-run')
+    assert.match(late.text, /deadline passed while the request waited/)
     holder.leave()
     assert.equal((await call('next').answer)?.status, 200)
     assert.deepEqual(ranChats().slice(before), ['next'])
--- a/packages/daemon/src/node/admission/createServiceQueue.ts
+++ b/packages/daemon/src/node/admission/createServiceQueue.ts
@@ -11,7 +11,7 @@
   createRankedQueueClass,
   type RankedOptions,
 } from './createRankedQueueClass.js'
-import { LeaveReason } from './leaveReason.js'
+import { LeaveReason, reasonOf } from './leaveReason.js'
 
 /** Gives the place of a request in flight back. */
 export type Release = () => void
@@ -77,7 +77,7 @@
         left.abort(reason)
       }
       const onGone = (): void => {
-        leave(LeaveReason.CallerGone)
+        leave(reasonOf(signal))
       }
       const expiry = setTimeout(
         leave,
--- a/packages/daemon/src/node/admission/createWaitingRouting.ts
+++ b/packages/daemon/src/node/admission/createWaitingRouting.ts
@@ -10,7 +10,7 @@
 import type { Placement, Routing } from '../routing/routing.js'
 import type { Admission } from './admission.js'
 import { leaveFailure } from './leaveFailure.js'
-import { LeaveReason } from './leaveReason.js'
+import { LeaveReason, reasonOf } from './leaveReason.js'
 
 /** What waiting for a place works with. */
 export interface WaitingRoutingOptions {
@@ -73,7 +73,7 @@
       const order = { priority: -rank, signal }
       return await waitersOf(service).add(run, order)
     } catch (error) {
-      if (gone.aborted) return err(leaveFailure(LeaveReason.CallerGone))
+      if (gone.aborted) return err(leaveFailure(reasonOf(gone)))
       if (expired.aborted) return err(leaveFailure(LeaveReason.Expired))
       throw error
     }
--- a/packages/daemon/src/node/callers/limitToDeadline.ts
+++ b/packages/daemon/src/node/callers/limitToDeadline.ts
@@ -1,3 +1,4 @@
+import { DeadlinePassed } from './deadlinePassed.js'
 import type { RoutedRequest } from './routedRequest.js'
 
 /** A request that is aborted when its deadline passes. */
@@ -20,7 +21,7 @@
   const passed = new AbortController()
   const leftMs = Math.max(0, deadlineAtMs - nowMs)
   const abort = (): void => {
-    passed.abort(new Error('the deadline passed'))
+    passed.abort(new DeadlinePassed())
   }
   if (leftMs === 0) abort()
   const timer = setTimeout(abort, Math.min(leftMs, MAX_TIMER_MS))
--- a/packages/daemon/src/node/limits/createServiceConcurrency.ts
+++ b/packages/daemon/src/node/limits/createServiceConcurrency.ts
@@ -17,8 +17,18 @@
   readonly configuration: () => Configuration
   readonly eligible: (targetId: string) => boolean
   readonly usage: FleetUsage
+  readonly now: () => number
 }
 
+interface Known {
+  readonly cfg: Configuration
+  readonly atMs: number
+  readonly concurrency: number
+}
+
+/** Milliseconds for which a result is used again; digests come less often. */
+const FRESH_MS = 50
+
 /**
  * Returns how many requests of a service this router may have in flight: its
  * share of what the service's targets take, or what its peers leave of it.
@@ -26,9 +36,12 @@
 export function createServiceConcurrency(
   options: ServiceConcurrencyOptions,
 ): (service: string) => number {
-  const { router, staleMs, holdMs, settings, configuration, usage } = options
+  const { router, staleMs, holdMs, settings, configuration, usage, now } =
+    options
 
-  return (service) => {
+  const known = new Map<string, Known>()
+
+  function workOut(service: string): number {
     const ids: string[] = []
     let limit = 0
     for (const [id, target] of Object.entries(configuration().targets)) {
@@ -55,4 +68,14 @@
     const share = createFleetShares(limit, service, routers)(router)
     return Math.min(settings.maxInFlight, Math.max(1, share, left))
   }
+
+  return (service) => {
+    const cfg = configuration()
+    const last = known.get(service)
+    if (last?.cfg === cfg && now() - last.atMs < FRESH_MS)
+      return last.concurrency
+    const concurrency = workOut(service)
+    known.set(service, { cfg, atMs: now(), concurrency })
+    return concurrency
+  }
 }
