Let the log decide who runs a non-idempotent request with a key

Cause: the same key sent through two routers ran twice. Excluded: locks with a time limit (a paused holder acts late), claims over peers (views differ), keys without a time (their age cannot be told once the log has dropped their claim; a setting accepts them with that limit). Change: a pure claim table folds the claims stream; routers append claims in batches, follow the stream and dispatch only what the log gave them; a claim given up is released when it appears; outcomes are recorded; keys older than the log, of the future or of another body are refused.

--- /dev/null
+++ b/packages/core/src/node/claims/__tests__/claimTable.test.ts
@@ -0,0 +1,119 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import { type ClaimRecord, ClaimRecordKind } from '../claimRecord.js'
+import { ClaimPhase, createClaimTable } from '../claimTable.js'
+import { isKeyCovered, keyTime, MAX_KEY_SKEW_MS } from '../keyTime.js'
+
+const SEED = 503
+
+/** Looks through all records so far, without any state. */
+function holderOf(records: readonly ClaimRecord[], key: string) {
+  let holder: string | undefined
+  let phase: ClaimPhase | undefined
+  for (const record of records) {
+    if (record.key !== key) continue
+    if (record.kind === ClaimRecordKind.Claim) {
+      if (holder !== undefined) continue
+      holder = record.claimId
+      phase = ClaimPhase.Running
+      continue
+    }
+    if (record.claimId !== holder) continue
+    if (record.kind === ClaimRecordKind.Release) holder = undefined
+    else
+      phase =
+        record.status === undefined ? ClaimPhase.Unknown : ClaimPhase.Finished
+  }
+  return holder === undefined ? undefined : { holder, phase }
+}
+
+const name = (prefix: string, count: number) =>
+  fc.nat({ max: count - 1 }).map((index) => `${prefix}${index}`)
+
+const recordArbitrary: fc.Arbitrary<ClaimRecord> = fc.oneof(
+  fc.record({
+    kind: fc.constant(ClaimRecordKind.Claim as const),
+    claimId: name('claim', 8),
+    key: name('key', 3),
+    digest: name('digest', 2),
+  }),
+  fc.record({
+    kind: fc.constant(ClaimRecordKind.Release as const),
+    claimId: name('claim', 8),
+    key: name('key', 3),
+  }),
+  fc.record({
+    kind: fc.constant(ClaimRecordKind.Outcome as const),
+    claimId: name('claim', 8),
+    key: name('key', 3),
+    status: fc.option(fc.constant(200), { nil: undefined }),
+  }),
+)
+
+describe('the claim table', () => {
+  it('holds what a search through the whole log finds', () => {
+    fc.assert(
+      fc.property(fc.array(recordArbitrary, { maxLength: 40 }), (records) => {
+        const table = createClaimTable(1_000)
+        for (const [offset, record] of records.entries()) {
+          const decision = table.apply(record, offset, offset)
+          const naive = holderOf(records.slice(0, offset + 1), record.key)
+          const found = table.find(record.key)
+          assert.equal(found?.claimId, naive?.holder)
+          assert.equal(found?.phase, naive?.phase)
+          if (record.kind === ClaimRecordKind.Claim)
+            assert.equal(decision?.holder.claimId, naive?.holder)
+        }
+      }),
+      { seed: SEED, numRuns: 500 },
+    )
+  })
+
+  it('knows every claim after its horizon, whatever was dropped', () => {
+    fc.assert(
+      fc.property(
+        fc.array(name('key', 30), { minLength: 1, maxLength: 60 }),
+        fc.integer({ min: 1, max: 10 }),
+        fc.nat({ max: 60 }),
+        (keys, maxClaims, trimAt) => {
+          const table = createClaimTable(maxClaims)
+          const firstAt = new Map<string, number>()
+          for (const [offset, key] of keys.entries()) {
+            if (!firstAt.has(key)) firstAt.set(key, offset)
+            const kind = ClaimRecordKind.Claim
+            const claimId = `claim${offset}`
+            table.apply({ kind, claimId, key, digest: 'd' }, offset, offset)
+          }
+          table.trim(trimAt)
+          assert.ok(table.size <= maxClaims)
+          for (const [key, atMs] of firstAt)
+            if (atMs > table.horizonMs) assert.ok(table.find(key))
+        },
+      ),
+      { seed: SEED, numRuns: 500 },
+    )
+  })
+
+  it('ignores records of another form', () => {
+    const table = createClaimTable(10)
+    assert.equal(table.apply({ kind: 'other' }, 0, 0), undefined)
+    assert.equal(table.size, 0)
+  })
+})
+
+describe('the time that a key carries', () => {
+  it('is read from a UUID of version 7 and from a leading time', () => {
+    const uuid = '017f22e2-79b0-7cc3-98c4-dc0c0c07398f'
+    assert.equal(keyTime(uuid), 1_645_557_742_000)
+    assert.equal(keyTime('1645557742000.sign-off-7'), 1_645_557_742_000)
+    assert.equal(keyTime('sign-off-7'), undefined)
+    assert.equal(keyTime('1645557742000.'), undefined)
+  })
+
+  it('is covered only beyond the horizon and the skew of clocks', () => {
+    assert.ok(isKeyCovered(1_000, -Infinity))
+    assert.ok(!isKeyCovered(1_000 + MAX_KEY_SKEW_MS, 1_000))
+    assert.ok(isKeyCovered(1_001 + MAX_KEY_SKEW_MS, 1_000))
+  })
+})
--- a/packages/core/src/node/verdict/failureCode.ts
+++ b/packages/core/src/node/verdict/failureCode.ts
@@ -14,6 +14,8 @@
   TargetFailed = 'target-failed',
   TargetTimeout = 'target-timeout',
   KeyInUse = 'key-in-use',
+  KeyReused = 'key-reused',
+  KeyTooOld = 'key-too-old',
   LogUnavailable = 'log-unavailable',
   Stopping = 'stopping',
   Internal = 'internal',
--- a/packages/daemon/src/node/callers/createDispatcher.ts
+++ b/packages/daemon/src/node/callers/createDispatcher.ts
@@ -3,6 +3,7 @@
 import { combineVerdicts, type RequestFailure, Verdict } from '@auburnbay/core'
 import { err, ok, type Result } from 'neverthrow'
 import type { Admission } from '../admission/admission.js'
+import type { Claims, WonClaim } from '../claims/claims.js'
 import type { Retries } from '../limits/createRetries.js'
 import type { Metrics } from '../metrics/metrics.js'
 import type { Routing } from '../routing/routing.js'
@@ -16,6 +17,7 @@
 /** The parts that a request passes through. */
 export interface DispatcherOptions {
   readonly admission: Admission
+  readonly claims: Claims
   readonly routing: Routing
   readonly targets: TargetClient
   readonly tracing: Tracing
@@ -37,7 +39,7 @@
 
 /** Creates the path from the queue to the target and back. */
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
-  const { admission, tracing, retries } = options
+  const { admission, claims, tracing, retries } = options
   const tryOnce = createAttempt(options)
   const relay = createRelay(options)
 
@@ -57,6 +59,18 @@
     }
   }
 
+  async function claimIfNeeded(
+    request: RoutedRequest,
+    parent: Context,
+  ): Promise<Result<WonClaim | undefined, RequestFailure>> {
+    const { idempotent, idempotencyKey } = request
+    if (idempotent || idempotencyKey === undefined) return ok(undefined)
+    const span = tracing.start(Hop.Claim, parent)
+    const claimed = await claims.claim(request, idempotencyKey)
+    span.end(claimed.isErr() ? claimed.error.message : undefined)
+    return claimed
+  }
+
   async function dispatchInTime(
     request: RoutedRequest,
     res: ServerResponse,
@@ -67,9 +81,15 @@
     queueing.end(admitted.isErr() ? admitted.error.message : undefined)
     if (admitted.isErr()) return err(admitted.error)
     try {
+      const claimed = await claimIfNeeded(request, parent)
+      if (claimed.isErr()) return err(claimed.error)
       const result = await attempt(request, parent)
-      if (result.isErr()) return err(result.error)
+      if (result.isErr()) {
+        claimed.value?.failed(result.error.verdict)
+        return err(result.error)
+      }
       const { placement, reply } = result.value
+      claimed.value?.finished(reply.status)
       try {
         await relay({ request, res, placement, reply, parent })
       } finally {
--- a/packages/daemon/src/node/callers/createFailure.ts
+++ b/packages/daemon/src/node/callers/createFailure.ts
@@ -15,6 +15,8 @@
   [FailureCode.TargetFailed]: 502,
   [FailureCode.TargetTimeout]: 504,
   [FailureCode.KeyInUse]: 409,
+  [FailureCode.KeyReused]: 422,
+  [FailureCode.KeyTooOld]: 409,
   [FailureCode.LogUnavailable]: 503,
   [FailureCode.Stopping]: 503,
   [FailureCode.Internal]: 500,
--- /dev/null
+++ b/packages/daemon/src/node/claims/createClaimTailer.ts
@@ -0,0 +1,65 @@
+import {
+  type ClaimDecision,
+  CLAIMS_STREAM,
+  type ClaimTable,
+} from '@auburnbay/core'
+import type { ConsolaInstance } from 'consola'
+import { LOG_POLL_WAIT_MS, LOG_RETRY_MS } from '../constants.js'
+import type { LogClient, LogPage } from '../logService/logClient.js'
+import { createLoop, type Loop } from '../tasks/createLoop.js'
+
+/** How the claims stream is followed. */
+export interface ClaimTailerOptions {
+  readonly log: LogClient
+  readonly table: ClaimTable
+  readonly logger: ConsolaInstance
+  readonly onDecision: (decision: ClaimDecision) => void
+  /** Milliseconds since the epoch. */
+  readonly now: () => number
+}
+
+/** Starts folding the claims stream into the table. */
+export function createClaimTailer(options: ClaimTailerOptions): Loop {
+  const { log, table, logger, onDecision, now } = options
+  let nextOffset = 0
+  let logId: string | undefined
+
+  /** Forgets what the log no longer says, so that old keys are refused. */
+  function checkContinuity(page: LogPage): void {
+    const replaced = logId !== undefined && page.logId !== logId
+    const shortened = page.nextOffset < nextOffset
+    logId = page.logId
+    if (replaced || shortened) {
+      logger.error('The claims stream was replaced; older keys are refused.')
+      table.forget(now())
+      nextOffset = 0
+    }
+    if (page.firstOffset > nextOffset) {
+      table.forget(page.records[0]?.atMs ?? now())
+      nextOffset = page.firstOffset
+    }
+  }
+
+  function fold(page: LogPage): void {
+    checkContinuity(page)
+    for (const { value, offset, atMs } of page.records) {
+      if (offset < nextOffset) continue
+      nextOffset = offset + 1
+      const decision = table.apply(value, offset, atMs)
+      if (decision) onDecision(decision)
+    }
+    table.trim(page.firstOffset)
+  }
+
+  return createLoop(
+    async () => {
+      const page = await log.read(CLAIMS_STREAM, nextOffset, LOG_POLL_WAIT_MS)
+      if (page.isOk()) fold(page.value)
+      else await new Promise((resolve) => setTimeout(resolve, LOG_RETRY_MS))
+    },
+    0,
+    (error) => {
+      logger.error(error)
+    },
+  )
+}
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -8,6 +8,7 @@
 import { createWaitingRouting } from './admission/createWaitingRouting.js'
 import { createCallerServer } from './callers/createCallerServer.js'
 import { createDispatcher } from './callers/createDispatcher.js'
+import { createClaims } from './claims/createClaims.js'
 import { createConfigurationTailer } from './configuration/createConfigurationTailer.js'
 import { createTargetHealth } from './health/createTargetHealth.js'
 import { createWatchedTargets } from './health/createWatchedTargets.js'
@@ -122,8 +123,15 @@
     createTargetClient(settings.targets),
     health,
   )
+  const claims = createClaims({
+    settings: settings.claims,
+    log,
+    logger: logs.part('claims'),
+    now: Date.now,
+  })
   const dispatcher = createDispatcher({
     admission,
+    claims,
     routing: createWaitingRouting({
       routing,
       admission,
@@ -181,6 +189,7 @@
       membership.stop(),
       admission.stop(),
       tailer.stop(),
+      claims.stop(),
       peerServer.stop(),
     ])
     targets.close()
--- a/packages/daemon/src/node/settings/settingsSchema.ts
+++ b/packages/daemon/src/node/settings/settingsSchema.ts
@@ -120,6 +120,21 @@
       timeoutMs: positiveMs.default(2_000),
     })
     .prefault({}),
+  claims: z
+    .strictObject({
+      /** Milliseconds between two appends of claims. @default 50 */
+      batchMs: positiveMs.default(50),
+      /** Milliseconds until a claim that the log has not decided is refused. @default 1500 */
+      decideTimeoutMs: positiveMs.default(1_500),
+      /** Claims that a router remembers; older keys are refused. @default 200000 */
+      maxClaims: z.int().positive().default(200_000),
+      /**
+       * Accepts idempotency keys without a time of their own; such a key runs
+       * at most once only while the log holds its claim. @default false
+       */
+      acceptUndatedKeys: z.boolean().default(false),
+    })
+    .prefault({}),
   stopping: z
     .strictObject({
       /** Milliseconds between failing readiness and refusing work. @default 2000 */
--- a/packages/daemon/src/node/tracing/createTracing.ts
+++ b/packages/daemon/src/node/tracing/createTracing.ts
@@ -23,6 +23,7 @@
   Queue = 'queue',
   Decide = 'decide',
   Peer = 'peer',
+  Claim = 'claim',
   Target = 'target',
   Resume = 'resume',
 }
