Stop a router without cutting off requests

Cause: idle connections were closed at once, so that a request on its way into one was lost; a drain past its limit ended the process with exit code 0 and without verdicts. Excluded: closing the listener first (a balancer that has not yet seen readiness fail would be refused connections). Change: at SIGTERM answers end their connections; after the balancer's delay new work is refused as not run with Retry-After; connections close once no request is under way; beyond the limit requests are aborted, told their verdict or broken off, cancelled at the engine, and the exit code is 3.

--- a/packages/daemon/src/node/bin.ts
+++ b/packages/daemon/src/node/bin.ts
@@ -1,10 +1,13 @@
 #!/usr/bin/env node
 import { boolean, command, flag, option, run, string } from 'cmd-ts'
 import { createDaemon } from './createDaemon.js'
+import { StopOutcome } from './stopping/stopOutcome.js'
 import { loadSettings } from './settings/resolveSettings.js'
 
 const EXIT_BAD_SETTINGS = 2
 const EXIT_FAILED = 1
+/** Stopped, but requests that outlasted the limit were broken off. */
+const EXIT_CUT_OFF = 3
 
 async function start(path: string, checkOnly: boolean): Promise<void> {
   const settings = loadSettings(path)
@@ -21,7 +24,11 @@
   const daemon = await createDaemon(settings.value)
   process.send?.({ type: 'ready', addresses: daemon.addresses })
   const stop = (): void => {
-    void daemon.stop().then(() => process.exit(0))
+    void daemon.stop().then(
+      (outcome) =>
+        process.exit(outcome === StopOutcome.Drained ? 0 : EXIT_CUT_OFF),
+      () => process.exit(EXIT_FAILED),
+    )
   }
   process.once('SIGTERM', stop)
   process.once('SIGINT', stop)
--- a/packages/daemon/src/node/callers/createCallerServer.ts
+++ b/packages/daemon/src/node/callers/createCallerServer.ts
@@ -3,7 +3,12 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http'
-import { type Configuration, FailureCode, Verdict } from '@auburnbay/core'
+import {
+  type Configuration,
+  FailureCode,
+  type RequestFailure,
+  Verdict,
+} from '@auburnbay/core'
 import {
   BodyError,
   closeServer,
@@ -17,12 +22,20 @@
 import type { Metrics } from '../metrics/metrics.js'
 import type { ResolvedSettings } from '../settings/settingsSchema.js'
 import { Hop, type HopSpan, type Tracing } from '../tracing/createTracing.js'
+import { createActiveCalls } from './createActiveCalls.js'
 import type { Dispatcher } from './createDispatcher.js'
 import { createFailure } from './createFailure.js'
 import { authenticate, parseRequest } from './parseRequest.js'
 import { refuseBrokenRequest } from './refuseBrokenRequest.js'
 import { sendFailure } from './sendFailure.js'
 
+const RETRY_AFTER_S = 1
+
+function cutOff({ verdict }: RequestFailure): RequestFailure {
+  const message = 'this router stopped before the answer came'
+  return createFailure(FailureCode.Stopping, message, verdict)
+}
+
 /** What the listener for callers works with. */
 export interface CallerServerOptions {
   readonly settings: ResolvedSettings
@@ -39,9 +52,15 @@
   readonly address: ListenAddress
   /** Requests under way. */
   readonly inFlight: number
+  /** From now on answers end their connections. */
+  closeConnections(): void
   /** From now on new requests are refused as not run. */
   refuseNew(): void
-  /** Resolves once the last request has ended. */
+  /** Resolves once no request is under way. */
+  drained(): Promise<void>
+  /** Breaks every request off and returns how many there were. */
+  cutOff(): number
+  /** Ends every connection and the listener. */
   close(): Promise<void>
 }
 
@@ -50,17 +69,24 @@
   options: CallerServerOptions,
 ): Promise<CallerServer> {
   const { settings, configuration, dispatcher, tracing, logger } = options
+  const calls = createActiveCalls()
   let refusing = false
-  let inFlight = 0
 
   async function route(
     req: IncomingMessage,
     res: ServerResponse,
+    signal: AbortSignal,
     span: HopSpan,
   ): Promise<void> {
     if (refusing) {
       const message = 'this router is stopping; try again at once'
-      sendFailure(res, createFailure(FailureCode.Stopping, message), true)
+      const failure = createFailure(
+        FailureCode.Stopping,
+        message,
+        Verdict.NotRun,
+        RETRY_AFTER_S,
+      )
+      sendFailure(res, failure, true)
       return
     }
     const cfg = configuration()
@@ -77,14 +103,10 @@
       sendFailure(res, createFailure(FailureCode.BodyTooLarge, message), true)
       return
     }
-    const gone = new AbortController()
-    res.once('close', () => {
-      if (!res.writableFinished) gone.abort()
-    })
     const parsed = parseRequest(req, customer.value, {
       configuration: cfg,
       body: body.value,
-      signal: gone.signal,
+      signal,
       nowMs,
     })
     if (parsed.isErr()) {
@@ -96,7 +118,7 @@
     const result = await dispatcher.dispatch(parsed.value, res, span.context)
     if (result.isErr()) {
       span.set({ verdict: result.error.verdict })
-      sendFailure(res, result.error)
+      sendFailure(res, calls.cutting ? cutOff(result.error) : result.error)
     }
   }
 
@@ -114,9 +136,9 @@
       return
     }
     const span = tracing.start(Hop.Accept, tracing.extract(req.headers))
-    inFlight += 1
+    const { signal } = calls.begin(res)
     try {
-      await route(req, res, span)
+      await route(req, res, signal, span)
       span.end()
     } catch (error) {
       span.end(String(error))
@@ -128,7 +150,6 @@
         sendFailure(res, createFailure(Internal, message, Verdict.MayHaveRun))
       }
     } finally {
-      inFlight -= 1
       options.metrics.count('requests', 1, { status: String(res.statusCode) })
     }
   }
@@ -149,11 +170,20 @@
   return {
     address,
     get inFlight() {
-      return inFlight
+      return calls.count
     },
     refuseNew: () => {
       refusing = true
     },
-    close: () => closeServer(server),
+    closeConnections: () => {
+      calls.closeConnections()
+    },
+    drained: () => calls.drained(),
+    cutOff: () => calls.cutOff(),
+    close: async () => {
+      const closed = closeServer(server)
+      server.closeAllConnections()
+      await closed
+    },
   }
 }
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -23,10 +23,15 @@
 import type { Heartbeat } from './peers/heartbeat.js'
 import { createRouting } from './routing/createRouting.js'
 import type { ResolvedSettings } from './settings/settingsSchema.js'
+import { stopCallers } from './stopping/stopCallers.js'
+import type { StopOutcome } from './stopping/stopOutcome.js'
 import { createLoadReporter } from './targets/createLoadReporter.js'
 import { createTargetClient } from './targets/createTargetClient.js'
 import { createTracing } from './tracing/createTracing.js'
 
+/** Milliseconds that a router's parts may take to stop once no caller waits. */
+const STOP_PARTS_MS = 5_000
+
 /** The addresses a daemon has taken. */
 export interface DaemonAddresses {
   readonly callers: ListenAddress
@@ -39,8 +44,8 @@
   readonly addresses: DaemonAddresses
   /** Requests that run and that wait. */
   readonly load: Pick<Admission, 'running' | 'waiting'>
-  /** Stops gracefully: no request in flight is cut off. */
-  stop(): Promise<void>
+  /** Stops gracefully; requests are cut off only beyond the settings' limit. */
+  stop(): Promise<StopOutcome>
 }
 
 /** Starts a router; rejects when an address is in use. */
@@ -54,6 +59,7 @@
   const now = (): number => performance.now()
   const incarnation = randomUUID()
   let stopping = false
+  let stopped: Promise<StopOutcome> | undefined
 
   const log = createLogClient(settings.logService.url)
   const tailer = createConfigurationTailer(log, logs.part('configuration'))
@@ -171,18 +177,11 @@
     `Listening for callers on ${callers.address.host}:${callers.address.port}.`,
   )
 
-  async function stop(): Promise<void> {
-    if (stopping) return
+  async function stopOnce(): Promise<StopOutcome> {
     stopping = true
     logger.info('Stopping; readiness now fails.')
-    await sleep(settings.stopping.balancerDelayMs)
-    callers.refuseNew()
-    const drained = callers.close()
-    await Promise.race([
-      drained,
-      sleep(settings.stopping.drainTimeoutMs, undefined, { ref: false }),
-    ])
-    await Promise.all([
+    const outcome = await stopCallers(callers, settings.stopping, logger)
+    const parts = Promise.all([
       admin.stop(),
       reporter.stop(),
       vmList.stop(),
@@ -192,11 +191,18 @@
       claims.stop(),
       peerServer.stop(),
     ])
+    await Promise.race([parts, sleep(STOP_PARTS_MS, undefined, { ref: false })])
     targets.close()
     peerClient.close()
     await tracing.close()
     await metrics.close()
     logger.info('Stopped.')
+    return outcome
+  }
+
+  function stop(): Promise<StopOutcome> {
+    stopped ??= stopOnce()
+    return stopped
   }
 
   return { addresses, load: admission, stop }
--- /dev/null
+++ b/packages/daemon/src/node/stopping/stopCallers.ts
@@ -0,0 +1,38 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { ConsolaInstance } from 'consola'
+import type { CallerServer } from '../callers/createCallerServer.js'
+import type { ResolvedSettings } from '../settings/settingsSchema.js'
+import { StopOutcome } from './stopOutcome.js'
+
+/** Milliseconds in which requests that are cut off get their verdict. */
+const CUT_OFF_GRACE_MS = 1_000
+
+/** Whether `event` comes within `ms` milliseconds. */
+async function comesWithin(event: Promise<void>, ms: number): Promise<boolean> {
+  const timer = new AbortController()
+  const { signal } = timer
+  const late = sleep(ms, false, { signal }).catch(() => false)
+  const result = await Promise.race([event.then(() => true), late])
+  timer.abort()
+  return result
+}
+
+/** Takes callers away from this router and ends what they still wait for. */
+export async function stopCallers(
+  callers: CallerServer,
+  settings: ResolvedSettings['stopping'],
+  logger: ConsolaInstance,
+): Promise<StopOutcome> {
+  callers.closeConnections()
+  // The balancer goes on sending until it has seen readiness fail.
+  await sleep(settings.balancerDelayMs)
+  callers.refuseNew()
+  const inTime = await comesWithin(callers.drained(), settings.drainTimeoutMs)
+  if (!inTime) {
+    const count = callers.cutOff()
+    logger.warn(`Cut off ${count} requests that outlasted the limit.`)
+    await comesWithin(callers.drained(), CUT_OFF_GRACE_MS)
+  }
+  await callers.close()
+  return inTime ? StopOutcome.Drained : StopOutcome.CutOff
+}
