--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -1,16 +1,16 @@
 import { randomUUID } from 'node:crypto'
 import { performance } from 'node:perf_hooks'
 import { setTimeout as sleep } from 'node:timers/promises'
-import type { ListenAddress } from '@auburnbay/http-utils'
 import { createAdminServer } from './admin/createAdminServer.js'
-import type { Admission } from './admission/admission.js'
 import { createFleetAdmission } from './admission/createFleetAdmission.js'
 import { createWaitingRouting } from './admission/createWaitingRouting.js'
 import { createCallerServer } from './callers/createCallerServer.js'
 import { createDispatcher } from './callers/createDispatcher.js'
 import { configurationPeers } from './configuration/configurationPeers.js'
+import { createClaims } from './claims/createClaims.js'
 import { createConfigurationTailer } from './configuration/createConfigurationTailer.js'
 import { describeConfiguration } from './configuration/describeConfiguration.js'
+import type { Daemon } from './daemon.js'
 import { createTargetHealth } from './health/createTargetHealth.js'
 import { createWatchedTargets } from './health/createWatchedTargets.js'
 import { createRetries } from './limits/createRetries.js'
@@ -27,25 +27,14 @@
 import { createRouting } from './routing/createRouting.js'
 import type { ResolvedSettings } from './settings/settingsSchema.js'
 import { createCacheEventReader } from './targets/createCacheEventReader.js'
+import { stopCallers } from './stopping/stopCallers.js'
+import type { StopOutcome } from './stopping/stopOutcome.js'
 import { createLoadReporter } from './targets/createLoadReporter.js'
 import { createTargetClient } from './targets/createTargetClient.js'
 import { createTracing } from './tracing/createTracing.js'
 
-/** The addresses a daemon has taken. */
-export interface DaemonAddresses {
-  readonly callers: ListenAddress
-  readonly peers: ListenAddress
-  readonly admin: ListenAddress
-}
-
-/** A running router. */
-export interface Daemon {
-  readonly addresses: DaemonAddresses
-  /** Requests that run and that wait. */
-  readonly load: Pick<Admission, 'running' | 'waiting'>
-  /** Stops gracefully: no request in flight is cut off. */
-  stop(): Promise<void>
-}
+/** Milliseconds that a router's parts may take to stop once no caller waits. */
+const STOP_PARTS_MS = 5_000
 
 /** Starts a router; rejects when an address is in use. */
 export async function createDaemon(
@@ -58,6 +47,7 @@
   const now = (): number => performance.now()
   const incarnation = createIncarnation(Date.now(), randomUUID())
   let stopping = false
+  let stopped: Promise<StopOutcome> | undefined
 
   const peerClient = createPeerClient(settings.secrets.peer)
   const log = createLogClient(settings.logService.url)
@@ -163,8 +153,15 @@
     createTargetClient(settings.targets),
     health,
   )
+  const claims = createClaims({
+    settings: settings.claims,
+    log,
+    logger: logs.part('claims'),
+    now: Date.now,
+  })
   const dispatcher = createDispatcher({
     admission,
+    claims,
     routing: createWaitingRouting({
       routing,
       admission,
@@ -204,18 +201,11 @@
     `Listening for callers on ${callers.address.host}:${callers.address.port}.`,
   )
 
-  async function stop(): Promise<void> {
-    if (stopping) return
+  async function stopOnce(): Promise<StopOutcome> {
     stopping = true
     logger.info('Stopping; readiness now fails.')
-    await sleep(settings.stopping.balancerDelayMs)
-    callers.refuseNew()
-    const drained = callers.close()
-    await Promise.race([
-      drained,
-      sleep(settings.stopping.drainTimeoutMs, undefined, { ref: false }),
-    ])
-    await Promise.all([
+    const outcome = await stopCallers(callers, settings.stopping, logger)
+    const parts = Promise.all([
       admin.stop(),
       routing.stop(),
       reporter.stop(),
@@ -224,13 +214,21 @@
       membership.stop(),
       admission.stop(),
       tailer.stop(),
+      claims.stop(),
       peerServer.stop(),
     ])
+    await Promise.race([parts, sleep(STOP_PARTS_MS, undefined, { ref: false })])
     targets.close()
     peerClient.close()
     await tracing.close()
     await metrics.close()
     logger.info('Stopped.')
+    return outcome
+  }
+
+  function stop(): Promise<StopOutcome> {
+    stopped ??= stopOnce()
+    return stopped
   }
 
   return { addresses, load: admission, stop }
--- a/packages/daemon/src/node/index.ts
+++ b/packages/daemon/src/node/index.ts
@@ -1,6 +1,7 @@
 export { createDaemon } from './createDaemon.js'
-export type { Daemon, DaemonAddresses } from './createDaemon.js'
+export type { Daemon, DaemonAddresses } from './daemon.js'
 export { LogFormat } from './settings/logFormat.js'
 export { loadSettings, resolveSettings } from './settings/resolveSettings.js'
 export type { SettingsProblem } from './settings/resolveSettings.js'
 export type { ResolvedSettings, Settings } from './settings/settingsSchema.js'
+export { StopOutcome } from './stopping/stopOutcome.js'
