Measure the choice of targets and cut the routers' control bytes

Excluded: larger loans, which cost reuse and saved few messages. Change: messages are deflated with a preset dictionary, headers that HTTP/1.1 implies are left out, one side of a pair begins a heartbeat, each 2 s.

--- a/packages/core/src/node/routing/constants.ts
+++ b/packages/core/src/node/routing/constants.ts
@@ -11,7 +11,7 @@
 /** Milliseconds that a lent credit may be used. */
 export const CREDIT_VALID_MS = 2_000
 /** Milliseconds within which the home hears of finished requests. */
-export const RETURN_MS = 2_000
+export const RETURN_MS = 1_000
 /** Fall of a router's requests in flight that the home hears of at once. */
 export const RETURN_AT_FALL = 2
 /** Standard deviations by which the load is taken lower than known. */
--- a/packages/core/src/node/routing/createReportWindow.ts
+++ b/packages/core/src/node/routing/createReportWindow.ts
@@ -12,10 +12,14 @@
 export function createReportWindow(size: number): ReportWindow {
   const current = new Array<number>(size).fill(0)
   const previous = new Array<number>(size).fill(0)
+  let openedAtMs: number | undefined
   let startedAtMs: number | undefined
+  let lastMs = 0
 
   function turn(nowMs: number): void {
+    openedAtMs ??= nowMs
     startedAtMs ??= nowMs
+    lastMs = nowMs
     if (nowMs - startedAtMs < REPORT_LAG_MS) return
     startedAtMs = nowMs
     for (const [index, held] of current.entries()) previous[index] = held
@@ -29,7 +33,9 @@
         current[index] = Math.max(current[index] ?? 0, load)
     },
     unaccounted(index, reported) {
-      if (reported === undefined) return 0
+      if (reported === undefined || openedAtMs === undefined) return 0
+      // A report from before the window opened has nothing to compare with.
+      if (lastMs - openedAtMs < REPORT_LAG_MS) return 0
       const highest = Math.max(current[index] ?? 0, previous[index] ?? 0)
       return Math.max(0, reported - highest)
     },
--- a/packages/daemon/src/node/membership/createMembership.ts
+++ b/packages/daemon/src/node/membership/createMembership.ts
@@ -31,6 +31,9 @@
   readonly now: () => number
 }
 
+/** Share of the heartbeat interval within which a peer need not be asked. */
+const HEARD_LATELY = 0.75
+
 interface HeardPeer {
   heartbeat: Heartbeat
   atMs: number
@@ -55,8 +58,15 @@
     )
   }
 
+  // An exchange informs both sides, so one of the two begins it.
+  function heardLately(id: string): boolean {
+    const atMs = peers.get(id)?.atMs ?? -Infinity
+    return now() - atMs < HEARD_LATELY * settings.peers.heartbeatMs
+  }
+
   async function round(): Promise<void> {
-    const calls = routers().map((vm) =>
+    const due = routers().filter(({ id }) => !heardLately(id))
+    const calls = due.map((vm) =>
       client.heartbeat(vm.address, self()).then(heard, () => undefined),
     )
     await Promise.all(calls)
--- a/packages/daemon/src/node/peers/createPeerClient.ts
+++ b/packages/daemon/src/node/peers/createPeerClient.ts
@@ -11,6 +11,7 @@
 import type { Heartbeat } from './heartbeat.js'
 import type { PeerApi } from './peerApi.js'
 import { PEER_SECRET_HEADER } from './peerSecret.js'
+import { wireCodec } from './wireCodec.js'
 
 /** Calls other routers over kept connections. */
 export interface PeerClient {
@@ -38,6 +39,7 @@
       links: [
         httpBatchLink({
           url: `http://${address}`,
+          transformer: wireCodec,
           headers: { [PEER_SECRET_HEADER]: secret },
           fetch: createNodeFetch(agent, traffic) as typeof fetch,
         }),
--- a/packages/daemon/src/node/peers/createPeerServer.ts
+++ b/packages/daemon/src/node/peers/createPeerServer.ts
@@ -25,7 +25,12 @@
       ),
     }),
   })
-  const server = createServer(handler)
+  const server = createServer((req, res) => {
+    // HTTP/1.1 keeps connections by default; routers need no date.
+    res.sendDate = false
+    res.removeHeader('connection')
+    handler(req, res)
+  })
   const address = await listen(server, settings.listen.peers)
   return {
     address,
--- a/packages/daemon/src/node/peers/peerApi.ts
+++ b/packages/daemon/src/node/peers/peerApi.ts
@@ -7,6 +7,7 @@
 } from '@auburnbay/core'
 import { collectAskSchema, grantAskSchema } from './grantSchemas.js'
 import { type Heartbeat, heartbeatSchema } from './heartbeat.js'
+import { wireCodec } from './wireCodec.js'
 
 /** What a call between routers knows of its sender. */
 export interface PeerContext {
@@ -25,7 +26,7 @@
 /** Creates the procedures that routers offer each other. */
 
 export function createPeerApi(handlers: PeerHandlers) {
-  const t = initTRPC.context<PeerContext>().create()
+  const t = initTRPC.context<PeerContext>().create({ transformer: wireCodec })
   const procedure = t.procedure.use(({ ctx, next }) => {
     if (!ctx.authenticated) throw new TRPCError({ code: 'UNAUTHORIZED' })
     return next()
--- a/packages/daemon/src/node/settings/settingsSchema.ts
+++ b/packages/daemon/src/node/settings/settingsSchema.ts
@@ -139,10 +139,10 @@
     .prefault({}),
   peers: z
     .strictObject({
-      /** @default 500 */
-      heartbeatMs: positiveMs.default(500),
-      /** Milliseconds without a heartbeat until a peer counts as gone. @default 2000 */
-      timeoutMs: positiveMs.default(2_000),
+      /** @default 2000 */
+      heartbeatMs: positiveMs.default(2_000),
+      /** Milliseconds without a heartbeat until a peer counts as gone. @default 5000 */
+      timeoutMs: positiveMs.default(5_000),
     })
     .prefault({}),
   stopping: z
--- a/packages/http-utils/src/node/createNodeFetch.ts
+++ b/packages/http-utils/src/node/createNodeFetch.ts
@@ -1,4 +1,5 @@
 import { Agent, request } from 'node:http'
+import type { Socket } from 'node:net'
 import { readBody } from './readBody.js'
 
 const MAX_REPLY_BYTES = 16 * 1024 * 1024
@@ -11,17 +12,36 @@
   readonly signal?: AbortSignal | null
 }
 
-/** Bytes that a fetch function has sent and received as bodies. */
+/** Bytes that a fetch function has sent and received, headers included. */
 export interface TrafficCount {
   sentBytes: number
   receivedBytes: number
 }
 
+interface SocketBytes {
+  sent: number
+  received: number
+}
+
+/** Adds what went over `socket` since the last call to `traffic`. */
+function countBytes(
+  socket: Socket,
+  seen: WeakMap<Socket, SocketBytes>,
+  traffic: TrafficCount,
+): void {
+  const before = seen.get(socket) ?? { sent: 0, received: 0 }
+  const after = { sent: socket.bytesWritten, received: socket.bytesRead }
+  traffic.sentBytes += after.sent - before.sent
+  traffic.receivedBytes += after.received - before.received
+  seen.set(socket, after)
+}
+
 /** Creates a `fetch` over Node's `http` with kept connections. */
 export function createNodeFetch(
   agent: Agent = new Agent({ keepAlive: true }),
   traffic: TrafficCount = { sentBytes: 0, receivedBytes: 0 },
 ): (input: URL | string, init?: NodeFetchInit) => Promise<Response> {
+  const seen = new WeakMap<Socket, SocketBytes>()
   return (input, init = {}) =>
     new Promise((resolve, reject) => {
       const payload = typeof init.body === 'string' ? init.body : undefined
@@ -31,20 +51,22 @@
         signal: init.signal ?? undefined,
         headers: Object.fromEntries(new Headers(init.headers)),
       })
+      // HTTP/1.1 keeps connections by default.
+      req.removeHeader('connection')
       req.on('error', reject)
       req.on('response', (res) => {
+        const { socket } = res
         void readBody(res, MAX_REPLY_BYTES).then((body) => {
+          countBytes(socket, seen, traffic)
           if (body.isErr()) {
             reject(new Error(`the answer was cut off (${body.error})`))
             return
           }
-          traffic.receivedBytes += body.value.length
           const headers = { 'content-type': 'application/json' }
           const status = res.statusCode ?? 502
           resolve(new Response(body.value, { status, headers }))
         })
       })
-      if (payload !== undefined) traffic.sentBytes += Buffer.byteLength(payload)
       req.end(payload)
     })
 }
--- a/packages/measure/src/node/routing/bench/ways/createGrantNode.ts
+++ b/packages/measure/src/node/routing/bench/ways/createGrantNode.ts
@@ -1,8 +1,10 @@
 import {
+  createFlapDamper,
   createGrantHolder,
   createGroupHome,
   createGroupPlacer,
   createLevelShares,
+  type FlapDamper,
   type GrantHolder,
   type GroupHome,
   type GroupPlacer,
@@ -19,6 +21,7 @@
   readonly shares: LevelShares
   readonly home: GroupHome
   readonly placer: GroupPlacer
+  readonly damper: FlapDamper
 }
 
 /** Creates a router for one group. */
@@ -33,5 +36,13 @@
   const shares = createLevelShares(group, router)
   const home = createGroupHome({ group, router, loanSize })
   const placer = createGroupPlacer({ group, holder, shares, homeLimitMs })
-  return { self, router, holder, shares, home, placer }
+  return {
+    self,
+    router,
+    holder,
+    shares,
+    home,
+    placer,
+    damper: createFlapDamper(),
+  }
 }
