--- a/packages/daemon/src/node/peers/createPeerClient.ts
+++ b/packages/daemon/src/node/peers/createPeerClient.ts
@@ -8,6 +8,12 @@
 import { createNodeFetch, type TrafficCount } from '@auburnbay/http-utils'
 import { createTRPCClient, httpBatchLink, type TRPCClient } from '@trpc/client'
 import { PEER_CALL_TIMEOUT_MS } from '../constants.js'
+import { PEER_FETCH_TIMEOUT_MS } from '../configuration/constants.js'
+import {
+  type ConfigurationSince,
+  type ConfigurationTransfer,
+  configurationTransferSchema,
+} from '../configuration/configurationTransfer.js'
 import type { Heartbeat } from './heartbeat.js'
 import type { PeerApi } from './peerApi.js'
 import { PEER_SECRET_HEADER } from './peerSecret.js'
@@ -23,6 +29,11 @@
   grant(address: string, ask: GrantAsk): Promise<GrantReply>
   /** Asks for a router's counts; rejects when it does not answer. */
   collect(address: string, ask: CollectAsk): Promise<CollectReply>
+  /** Fetches records or a snapshot; rejects when the peer has none. */
+  configurationSince(
+    address: string,
+    since: ConfigurationSince,
+  ): Promise<ConfigurationTransfer>
   close(): void
 }
 
@@ -57,6 +68,13 @@
       clientOf(address).heartbeat.mutate(heartbeat, limited()),
     grant: (address, ask) => clientOf(address).grant.mutate(ask, limited()),
     collect: (address, ask) => clientOf(address).collect.mutate(ask, limited()),
+    configurationSince: async (address, since) => {
+      const signal = AbortSignal.timeout(PEER_FETCH_TIMEOUT_MS)
+      const answer = await clientOf(address).configurationSince.mutate(since, {
+        signal,
+      })
+      return configurationTransferSchema.parse(answer)
+    },
     close: () => {
       agent.destroy()
     },
--- a/packages/daemon/src/node/peers/peerApi.ts
+++ b/packages/daemon/src/node/peers/peerApi.ts
@@ -6,6 +6,11 @@
   GrantReply,
 } from '@auburnbay/core'
 import { collectAskSchema, grantAskSchema } from './grantSchemas.js'
+import {
+  type ConfigurationSince,
+  configurationSinceSchema,
+  type ConfigurationTransfer,
+} from '../configuration/configurationTransfer.js'
 import { type Heartbeat, heartbeatSchema } from './heartbeat.js'
 import { wireCodec } from './wireCodec.js'
 
@@ -21,6 +26,10 @@
   onGrant(ask: GrantAsk): GrantReply
   /** Tells a new home what is in flight from here. */
   onCollect(ask: CollectAsk): CollectReply
+  /** Returns what a router that is behind needs; undefined without a log. */
+  onConfigurationSince(
+    since: ConfigurationSince,
+  ): ConfigurationTransfer | undefined
 }
 
 /** Creates the procedures that routers offer each other. */
@@ -41,6 +50,9 @@
     collect: procedure
       .input(collectAskSchema)
       .mutation(({ input }) => handlers.onCollect(input)),
+    configurationSince: procedure
+      .input(configurationSinceSchema)
+      .mutation(({ input }) => handlers.onConfigurationSince(input)),
   })
 }
 
--- a/packages/measure/src/node/routing/measureControl.ts
+++ b/packages/measure/src/node/routing/measureControl.ts
@@ -95,6 +95,7 @@
     onCollect: () => {
       throw new Error('the measure sends no such call')
     },
+    onConfigurationSince: () => undefined,
   })
   const client = createPeerClient(SECRET)
   const address = `${server.address.host}:${server.address.port}`
