--- a/packages/daemon/src/node/membership/createMembership.ts
+++ b/packages/daemon/src/node/membership/createMembership.ts
@@ -41,15 +41,20 @@
   readonly now: () => number
 }
 
+/** Share of the heartbeat interval within which a peer need not be asked. */
+const HEARD_LATELY = 0.75
+
 /** Starts exchanging heartbeats with the routers of the VM list. */
 export function createMembership(options: MembershipOptions): Membership {
   const { settings, client, vms, self, now } = options
   const { id: own, dataCentre } = settings.router
   const liveness = createPeerLiveness<Heartbeat>(settings.peers.timeoutMs)
   const calling = new Set<string>()
+  const heardAtMs = new Map<string, number>()
 
   function heard(heartbeat: Heartbeat): void {
     if (heartbeat.router === own) return
+    heardAtMs.set(heartbeat.router, now())
     const { router, incarnation, leaving } = heartbeat
     liveness.hear(router, incarnation, heartbeat, now())
     options.hearLeaving(leaving ?? {})
@@ -61,6 +66,12 @@
     )
   }
 
+  // An exchange informs both sides, so one of the two begins it.
+  function heardLately(id: string): boolean {
+    const atMs = heardAtMs.get(id) ?? -Infinity
+    return now() - atMs < HEARD_LATELY * settings.peers.heartbeatMs
+  }
+
   // A silent peer must not delay the heartbeats to the others.
   async function call(vm: VmEntry): Promise<void> {
     if (calling.has(vm.id)) return
@@ -81,7 +92,8 @@
     reportDuplicates()
     const listed = routers()
     const chosen = new Set(digestPeers({ id: own, dataCentre }, listed))
-    for (const vm of listed) if (chosen.has(vm.id)) void call(vm)
+    for (const vm of listed)
+      if (chosen.has(vm.id) && !heardLately(vm.id)) void call(vm)
   }
 
   function livePeers(): PeerStatus[] {
