Eject no target for being full or for a kept connection

Cause: three refusals in a row ejected a target, so an overloaded service would have lost up to half of its targets; failures of connections kept too long counted against their target. A new test also showed that the first target with enough outcomes was compared with a perfect peer that is not there, and ejected. Change: refusals count in the success rate alone, which is compared only with peers that have enough outcomes; kept connections are no evidence.

--- a/packages/core/src/node/health/createServiceHealth.ts
+++ b/packages/core/src/node/health/createServiceHealth.ts
@@ -75,7 +75,9 @@
 
   function count(state: TargetState, outcome: TargetOutcome): void {
     const success = outcome === TargetOutcome.Success ? 1 : 0
-    state.failuresInRow = success ? 0 : state.failuresInRow + 1
+    if (success) state.failuresInRow = 0
+    // When all are full, all refuse; only refusing more than its peers counts.
+    if (outcome === TargetOutcome.Failure) state.failuresInRow += 1
     state.outcomes += 1
     const weight = 1 / Math.min(state.outcomes, options.rateOutcomes)
     state.successRate += (success - state.successRate) * weight
@@ -88,7 +90,7 @@
   ): HealthChange {
     state.probing = false
     if (outcome === TargetOutcome.Unknown) return HealthChange.None
-    if (outcome === TargetOutcome.Failure) {
+    if (outcome !== TargetOutcome.Success) {
       open(state, nowMs)
       return HealthChange.None
     }
--- a/packages/core/src/node/health/isOutlier.ts
+++ b/packages/core/src/node/health/isOutlier.ts
@@ -1,9 +1,9 @@
 import type { HealthOptions } from './healthOptions.js'
 import type { TargetState } from './targetState.js'
 
-function median(values: readonly number[]): number {
+function median(values: readonly number[]): number | undefined {
   const sorted = [...values].sort((a, b) => a - b)
-  return sorted[Math.floor(sorted.length / 2)] ?? 1
+  return sorted[Math.floor(sorted.length / 2)]
 }
 
 /** Returns whether a target fails too often in a row or against its peers. */
@@ -17,5 +17,7 @@
   const rates: number[] = []
   for (const peer of peers)
     if (peer.outcomes >= options.rateOutcomes) rates.push(peer.successRate)
-  return median(rates) - state.successRate > options.maxRateGap
+  const usual = median(rates)
+  if (usual === undefined) return false
+  return usual - state.successRate > options.maxRateGap
 }
--- a/packages/core/src/node/health/targetOutcome.ts
+++ b/packages/core/src/node/health/targetOutcome.ts
@@ -2,6 +2,8 @@
 export enum TargetOutcome {
   Success = 'success',
   Failure = 'failure',
-  /** The caller went away or the target refused for load: no evidence. */
+  /** The target refused before running, as one that is full or leaving. */
+  Refused = 'refused',
+  /** The caller went away or a kept connection was to blame: no evidence. */
   Unknown = 'unknown',
 }
--- a/packages/daemon/src/node/health/createTargetHealth.ts
+++ b/packages/daemon/src/node/health/createTargetHealth.ts
@@ -76,6 +76,7 @@
       isProbe,
       succeeded: end(TargetOutcome.Success),
       failed: end(TargetOutcome.Failure),
+      refused: end(TargetOutcome.Refused),
       abandoned: end(TargetOutcome.Unknown),
     }
   }
--- a/packages/daemon/src/node/health/createWatchedTargets.ts
+++ b/packages/daemon/src/node/health/createWatchedTargets.ts
@@ -1,5 +1,7 @@
+import { FailureCode, Verdict } from '@auburnbay/core'
 import type { RoutedRequest } from '../callers/routedRequest.js'
 import type { TargetClient } from '../targets/targetClient.js'
+import type { TargetFailure } from '../targets/targetFailure.js'
 import type { TargetReply } from '../targets/targetReply.js'
 import type { SentRequest, TargetHealth } from './targetHealth.js'
 
@@ -26,6 +28,15 @@
   })
 }
 
+function watchFailure(sent: SentRequest, failure: TargetFailure): void {
+  const { code, verdict, reusedConnection } = failure
+  // A connection that was kept too long says nothing of its target.
+  if (reusedConnection) sent.abandoned()
+  else if (code === FailureCode.TargetFailed && verdict === Verdict.NotRun)
+    sent.refused()
+  else sent.failed()
+}
+
 /** Creates a client that tells `health` how each request ended. */
 export function createWatchedTargets(
   targets: TargetClient,
@@ -38,7 +49,7 @@
       const result = await targets.send(target, request, ...rest)
       if (result.isOk()) watchReply(sent, result.value, request)
       else if (request.signal.aborted) sent.abandoned()
-      else sent.failed()
+      else watchFailure(sent, result.error)
       return result
     },
   }
--- a/packages/daemon/src/node/health/targetHealth.ts
+++ b/packages/daemon/src/node/health/targetHealth.ts
@@ -6,6 +6,8 @@
   readonly isProbe: boolean
   succeeded(): void
   failed(): void
+  /** The target refused the request before running it. */
+  refused(): void
   /** The request ended without evidence, as when the caller went away. */
   abandoned(): void
 }
