--- a/packages/daemon/src/node/admin/routes/patchRoutes.ts
+++ b/packages/daemon/src/node/admin/routes/patchRoutes.ts
@@ -5,6 +5,7 @@
 import { refuse, reply } from '../adminReplies.js'
 import type { AdminRoute } from '../adminRoute.js'
 import type { ConfigurationWriter } from '../configurationWriter.js'
+import { findOutcome } from '../findOutcome.js'
 import { parseBody } from '../parseBody.js'
 
 const { patchId, baseVersion, author, operations } = patchRecordSchema.shape
@@ -42,9 +43,9 @@
       method: 'GET',
       path: '/config/patches/:patchId',
       role: Role.Viewer,
-      handle: ({ params }) => {
+      handle: async ({ params }) => {
         const { patchId = '' } = params
-        const outcome = tailer.state.outcomes.get(patchId)
+        const outcome = await findOutcome(tailer, patchId)
         if (outcome) return reply(outcome)
         const message = `patch ${patchId} is not on the log as far as this router has read it; ask again, and submit it again with the same id when it stays away`
         return refuse(AdminErrorCode.Unknown, message, { patchId })
