--- a/packages/measure/src/node/limits/createTrace.ts
+++ b/packages/measure/src/node/limits/createTrace.ts
@@ -1,5 +1,5 @@
 import type { WaitingRequest } from '@auburnbay/core'
-import { createRandom } from './createRandom.js'
+import { createRandom, type Random } from '../routing/bench/createRandom.js'
 import { type Deployment, MEAN_RUN_MS, placesOf } from './deployments.js'
 
 /** One request of a trace. */
@@ -29,6 +29,16 @@
 const LONG_DEADLINE_SHARE = 0.1
 const STEP_MS = 100
 
+/** Draws an index with the given probabilities, which add up to 1. */
+function pick(random: Random, shares: readonly number[]): number {
+  let left = random.unit()
+  for (const [index, share] of shares.entries()) {
+    left -= share
+    if (left < 0) return index
+  }
+  return shares.length - 1
+}
+
 /** Draws the arrivals of one router, a Poisson stream for each customer. */
 export function createTrace(options: TraceOptions): TraceRequest[] {
   const { deployment, seed, lengthMs, load, weights = [] } = options
@@ -47,11 +57,11 @@
         continue
       }
       atMs += pauseMs
-      const isLong = random.uniform() < LONG_DEADLINE_SHARE
+      const isLong = random.unit() < LONG_DEADLINE_SHARE
       const waitMs = isLong ? LONG_DEADLINE_MS : MAX_WAIT_MS
       requests.push({
         id: `${customer}/${requests.length}`,
-        rank: RANKS[random.pick(rankShares)] ?? 0,
+        rank: RANKS[pick(random, rankShares)] ?? 0,
         customer: `customer-${customer}`,
         weight: weights[customer] ?? 1,
         enqueuedAtMs: atMs,
--- a/packages/measure/src/node/limits/runFleetLimit.ts
+++ b/packages/measure/src/node/limits/runFleetLimit.ts
@@ -1,6 +1,6 @@
 import { fleetAllowance, type FleetLimit } from '@auburnbay/core'
-import { createRandom } from './createRandom.js'
-import { EventHeap, type TimedEvent } from './eventHeap.js'
+import { createEventQueue } from '../routing/bench/createEventQueue.js'
+import { createRandom } from '../routing/bench/createRandom.js'
 import type { LimitMeter, MeasuredLimit } from './limitMeter.js'
 
 /** How a fleet is driven against one customer's limit. */
@@ -35,17 +35,6 @@
 export const STALE_MS = 1.5 * DIGEST_MS
 const SEED = 11
 
-enum EventKind {
-  Arrival = 'arrival',
-  End = 'end',
-  Digest = 'digest',
-}
-
-interface FleetEvent extends TimedEvent {
-  readonly kind: EventKind
-  readonly router: number
-}
-
 interface Heard {
   readonly used: number
   readonly asked: number
@@ -57,7 +46,7 @@
   const { limit, routers, lengthMs, connected } = options
   const allow = options.allowance ?? fleetAllowance
   const random = createRandom(SEED)
-  const events = new EventHeap<FleetEvent>()
+  const events = createEventQueue()
   const meters: LimitMeter[] = []
   const demands: (LimitMeter | undefined)[] = []
   const heard: Map<number, Heard>[] = []
@@ -109,8 +98,10 @@
     meters[router]?.add(nowMs)
     truth.add(nowMs)
     judge(nowMs)
-    const atMs = nowMs + random.exponential(options.meanRunMs)
-    events.push({ atMs, kind: EventKind.End, router })
+    events.at(nowMs + random.exponential(options.meanRunMs), () => {
+      meters[router]?.end()
+      truth.end()
+    })
   }
 
   function digestOf(router: number, nowMs: number): Heard {
@@ -126,33 +117,31 @@
       heard[router]?.set(peer, digestOf(peer, nowMs))
       heard[peer]?.set(router, digestOf(router, nowMs))
     }
-    const atMs = nowMs + DIGEST_MS
-    if (atMs < lengthMs) events.push({ atMs, kind: EventKind.Digest, router })
+    exchangeAt(router, nowMs + DIGEST_MS)
+  }
+
+  function exchangeAt(router: number, atMs: number): void {
+    if (atMs >= lengthMs) return
+    events.at(atMs, () => {
+      exchange(router, atMs)
+    })
   }
 
   for (let router = 0; router < routers; router += 1) {
     meters.push(limit.createMeter())
     demands.push(limit.createDemand?.())
     heard.push(new Map())
-    const atMs = random.uniform() * DIGEST_MS
-    events.push({ atMs, kind: EventKind.Digest, router })
+    exchangeAt(router, random.unit() * DIGEST_MS)
   }
   let atMs = 0
   while (atMs < lengthMs) {
     atMs += random.exponential(1_000 / options.arrivalsPerS)
-    const router = Math.floor(random.uniform() * routers)
-    events.push({ atMs, kind: EventKind.Arrival, router })
-  }
-  for (;;) {
-    const event = events.pop()
-    if (!event) break
-    const { kind, router } = event
-    if (kind === EventKind.Arrival) arrive(router, event.atMs)
-    else if (kind === EventKind.Digest) exchange(router, event.atMs)
-    else {
-      meters[router]?.end()
-      truth.end()
-    }
+    const router = random.below(routers)
+    const arrivalMs = atMs
+    events.at(arrivalMs, () => {
+      arrive(router, arrivalMs)
+    })
   }
+  events.runUntil(Infinity)
   return { arrivals, admitted, overshoot, beyondInterval, aboveAtMs }
 }
--- a/packages/measure/src/node/limits/runQueue.ts
+++ b/packages/measure/src/node/limits/runQueue.ts
@@ -1,6 +1,6 @@
 import { effectiveRank } from '@auburnbay/core'
+import { createEventQueue } from '../routing/bench/createEventQueue.js'
 import type { TraceRequest } from './createTrace.js'
-import { EventHeap, type TimedEvent } from './eventHeap.js'
 import { AGEING_MS, type QueuePolicy } from './queuePolicy.js'
 
 /** How a request of a trace ended. */
@@ -27,23 +27,12 @@
   readonly wrongSheds: number
 }
 
-enum EventKind {
-  Arrival = 'arrival',
-  End = 'end',
-  Expiry = 'expiry',
-}
-
-interface QueueEvent extends TimedEvent {
-  readonly kind: EventKind
-  readonly request: TraceRequest
-}
-
 /** Runs a trace against a queue before `places` places. */
 export function runQueue(
   trace: readonly TraceRequest[],
   policy: QueuePolicy,
 ): QueueRun {
-  const events = new EventHeap<QueueEvent>()
+  const events = createEventQueue()
   const results: QueueResult[] = []
   const waiting = new Set<TraceRequest>()
   let running = 0
@@ -74,11 +63,20 @@
       end(next, Ending.Served, nowMs)
       if (isInverted(next, nowMs)) inversions += 1
       running += 1
-      const atMs = nowMs + next.runMs
-      events.push({ atMs, kind: EventKind.End, request: next })
+      events.at(nowMs + next.runMs, () => {
+        running -= 1
+        policy.ran(next.runMs)
+        startAll(events.nowMs)
+      })
     }
   }
 
+  function expire(request: TraceRequest, nowMs: number): void {
+    if (!waiting.has(request)) return
+    policy.remove(request.id)
+    end(request, Ending.Expired, nowMs)
+  }
+
   function arrive(request: TraceRequest, nowMs: number): void {
     waiting.add(request)
     for (const shed of policy.offer(request)) {
@@ -89,35 +87,18 @@
           break
         }
     }
-    const atMs = request.deadlineAtMs
     if (waiting.has(request))
-      events.push({ atMs, kind: EventKind.Expiry, request })
+      events.at(request.deadlineAtMs, () => {
+        expire(request, request.deadlineAtMs)
+        startAll(request.deadlineAtMs)
+      })
   }
 
   for (const request of trace)
-    events.push({
-      atMs: request.enqueuedAtMs,
-      kind: EventKind.Arrival,
-      request,
+    events.at(request.enqueuedAtMs, () => {
+      arrive(request, request.enqueuedAtMs)
+      startAll(request.enqueuedAtMs)
     })
-  for (;;) {
-    const event = events.pop()
-    if (!event) return { results, inversions, wrongSheds }
-    const { kind, request, atMs } = event
-    switch (kind) {
-      case EventKind.Arrival:
-        arrive(request, atMs)
-        break
-      case EventKind.End:
-        running -= 1
-        policy.ran(request.runMs)
-        break
-      case EventKind.Expiry:
-        if (!waiting.has(request)) break
-        policy.remove(request.id)
-        end(request, Ending.Expired, atMs)
-        break
-    }
-    startAll(atMs)
-  }
+  events.runUntil(Infinity)
+  return { results, inversions, wrongSheds }
 }
--- a/packages/measure/src/node/limits/runRetries.ts
+++ b/packages/measure/src/node/limits/runRetries.ts
@@ -7,7 +7,7 @@
   TargetOutcome,
   Verdict,
 } from '@auburnbay/core'
-import { createRandom, type Random } from './createRandom.js'
+import { createRandom, type Random } from '../routing/bench/createRandom.js'
 
 /** How a service that is half down is driven. */
 export interface RetryOptions {
@@ -55,7 +55,7 @@
 const MAY_HAVE_RUN_SHARE = 0.5
 
 function drawVerdict(random: Random): Verdict {
-  return random.uniform() < MAY_HAVE_RUN_SHARE
+  return random.unit() < MAY_HAVE_RUN_SHARE
     ? Verdict.MayHaveRun
     : Verdict.NotRun
 }
@@ -85,7 +85,7 @@
 
   function send(index: number): void {
     const nowMs = index * REQUEST_EVERY_MS
-    const idempotent = random.uniform() < IDEMPOTENT_SHARE
+    const idempotent = random.unit() < IDEMPOTENT_SHARE
     const order = rendezvousOrder(`chat-${index}`, targets)
     const tried = new Set<string>()
     counts.firstTries += 1
