Hold what callers were told against what truly ran

Cause: verdicts and at-most-once were shown by single cases only. Change: generated fault schedules (targets refusing, resetting, silent, late, crossed, cut; kept connections going silent; the log down, slow, silent or losing replies; a router halted between claim and dispatch or stopped; calls leaving, with deadlines, repeated through the other router) run over the real listener, dispatcher, claims and target client. The stand-ins now answer crossed requests with another's content.

--- a/packages/daemon/src/node/callers/createAttempt.ts
+++ b/packages/daemon/src/node/callers/createAttempt.ts
@@ -25,7 +25,7 @@
 
 /** What one attempt works with. */
 export interface AttemptOptions {
-  readonly routing: Routing
+  readonly routing: Pick<Routing, 'place'>
   readonly targets: TargetClient
   readonly tracing: Tracing
 }
--- a/packages/daemon/src/node/callers/createDispatcher.ts
+++ b/packages/daemon/src/node/callers/createDispatcher.ts
@@ -16,9 +16,9 @@
 
 /** The parts that a request passes through. */
 export interface DispatcherOptions {
-  readonly admission: Admission
+  readonly admission: Pick<Admission, 'enter'>
   readonly claims: Claims
-  readonly routing: Routing
+  readonly routing: Pick<Routing, 'place'>
   readonly targets: TargetClient
   readonly tracing: Tracing
   readonly retries: Retries
--- a/packages/measure/src/node/measureGroups.ts
+++ b/packages/measure/src/node/measureGroups.ts
@@ -1,5 +1,6 @@
 import { limitsMeasures } from './limits/limitsMeasures.js'
 import type { MeasureGroup } from './measureGroup.js'
+import { onceMeasures } from './once/onceMeasures.js'
 import { routingMeasures } from './routing/routingMeasures.js'
 import { stoppingMeasures } from './stopping/stoppingMeasures.js'
 
@@ -8,4 +9,5 @@
   routingMeasures,
   limitsMeasures,
   stoppingMeasures,
+  onceMeasures,
 ]
--- a/packages/stand-ins/src/node/engine/createEngine.ts
+++ b/packages/stand-ins/src/node/engine/createEngine.ts
@@ -11,7 +11,7 @@
 import { createStandIn, type StandInRequest } from '../server/createStandIn.js'
 import type { StandIn } from '../server/standIn.js'
 import { createEngineFaults, type EngineFaults } from './engineFaults.js'
-import type { EngineRun } from './engineRun.js'
+import { type EngineRun, foreignRun } from './engineRun.js'
 import { generate } from './generate.js'
 import { writeStream } from './writeStream.js'
 
@@ -94,27 +94,25 @@
     return run
   }
 
-  function answerHeaders(
-    run: EngineRun,
-    switches: EngineFaults,
-  ): Record<string, string> {
+  function answerHeaders(run: EngineRun): Record<string, string> {
     return {
-      'x-request-id': switches.crossAnswers ? randomUUID() : run.requestId,
-      'x-run-id': switches.crossAnswers ? randomUUID() : run.runId,
+      'x-request-id': run.requestId,
+      'x-run-id': run.runId,
       'x-engine-cache': run.cacheHit ? 'hit' : 'miss',
     }
   }
 
   async function stream(
     call: StandInRequest,
-    run: EngineRun,
+    own: EngineRun,
     from: number,
     switches: EngineFaults,
   ): Promise<void> {
     const { res } = call
+    const run = switches.crossAnswers ? foreignRun(own) : own
     res.writeHead(200, {
       'content-type': 'text/event-stream',
-      ...answerHeaders(run, switches),
+      ...answerHeaders(run),
     })
     res.flushHeaders()
     const progress = progressOf.get(run) ?? new EventEmitter()
@@ -123,22 +121,23 @@
 
   async function answerWhole(
     call: StandInRequest,
-    run: EngineRun,
+    own: EngineRun,
     switches: EngineFaults,
   ): Promise<void> {
     const { res } = call
+    const run = switches.crossAnswers ? foreignRun(own) : own
     while (!run.finished && !res.destroyed) await sleep(1)
     const message = { role: 'assistant', content: run.words.join('') }
     const reply = { id: run.runId, choices: [{ index: 0, message }] }
     const text = JSON.stringify(reply)
     if (switches.cutAfterBytes < 0) {
-      sendJson(res, 200, reply, answerHeaders(run, switches))
+      sendJson(res, 200, reply, answerHeaders(run))
       return
     }
     res.writeHead(200, {
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(text),
-      ...answerHeaders(run, switches),
+      ...answerHeaders(run),
     })
     const part = text.slice(0, switches.cutAfterBytes % text.length)
     res.write(part, () => res.destroy())
--- a/packages/stand-ins/src/node/engine/engineFaults.ts
+++ b/packages/stand-ins/src/node/engine/engineFaults.ts
@@ -16,7 +16,7 @@
   silentAfterEvents: number
   /** Ends the stream cleanly, without its end marker. */
   withholdEnd: boolean
-  /** Echoes another request's identity. */
+  /** Answers with another request's answer, under that one's identity. */
   crossAnswers: boolean
   /** Forgets runs, so that streams cannot be resumed. */
   forgetRuns: boolean
--- a/packages/stand-ins/src/node/engine/engineRun.ts
+++ b/packages/stand-ins/src/node/engine/engineRun.ts
@@ -1,3 +1,5 @@
+import { randomUUID } from 'node:crypto'
+
 /** One execution, as the engine itself records it. */
 export interface EngineRun {
   readonly runId: string
@@ -34,3 +36,12 @@
 export function endEvent(run: EngineRun): string {
   return `id: ${run.words.length}\ndata: [DONE]\n\n`
 }
+
+/** Returns a finished run of another request, of the same length. */
+export function foreignRun(own: EngineRun): EngineRun {
+  const words = own.words.map((_, index) => `foreign#${index} `)
+  const ids = { runId: randomUUID(), requestId: randomUUID() }
+  const run = { ...own, ...ids, words, finished: true }
+  const events = words.map((word, index) => wordEvent(run, index, word))
+  return { ...run, events: [...events, endEvent(run)] }
+}
--- a/packages/stand-ins/src/node/plainService/createPlainService.ts
+++ b/packages/stand-ins/src/node/plainService/createPlainService.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto'
-import type { ServerResponse } from 'node:http'
+import type { IncomingHttpHeaders, ServerResponse } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { type ListenAddress, sendJson } from '@auburnbay/http-utils'
 import { createStandIn, type StandInRequest } from '../server/createStandIn.js'
@@ -12,6 +12,7 @@
   readonly idempotencyKey?: string
   readonly method: string
   readonly path: string
+  readonly headers: IncomingHttpHeaders
 }
 
 /** A plain service's stand-in. */
@@ -59,6 +60,7 @@
       idempotencyKey: req.headers['idempotency-key'] as string | undefined,
       method,
       path: url.pathname,
+      headers: req.headers,
     }
     calls.push(record)
     if (switches.silent) return
@@ -69,7 +71,8 @@
     if (switches.delayMs > 0) await sleep(switches.delayMs)
     const echoed = switches.crossAnswers ? randomUUID() : record.requestId
     const headers = { 'x-request-id': echoed }
-    const answer = { recorded: calls.length, echo: body }
+    const echo = switches.crossAnswers ? { notice: 'foreign' } : body
+    const answer = { recorded: calls.length, echo }
     if (switches.cutAfterBytes >= 0)
       sendCut(res, answer, headers, switches.cutAfterBytes)
     else sendJson(res, 200, answer, headers)
--- a/packages/stand-ins/src/node/plainService/plainFaults.ts
+++ b/packages/stand-ins/src/node/plainService/plainFaults.ts
@@ -10,7 +10,7 @@
   silent: boolean
   /** Cuts the answer after so many bytes of its body; negative is never. */
   cutAfterBytes: number
-  /** Echoes another call's identity. */
+  /** Answers with another call's answer, under that one's identity. */
   crossAnswers: boolean
   /** Milliseconds before the answer. */
   delayMs: number
