--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -9,12 +9,15 @@
 import { createCallerServer } from './callers/createCallerServer.js'
 import { createDispatcher } from './callers/createDispatcher.js'
 import { createClaims } from './claims/createClaims.js'
+import { configurationPeers } from './configuration/configurationPeers.js'
 import { createConfigurationTailer } from './configuration/createConfigurationTailer.js'
+import { describeConfiguration } from './configuration/describeConfiguration.js'
 import { createTargetHealth } from './health/createTargetHealth.js'
 import { createWatchedTargets } from './health/createWatchedTargets.js'
 import { createRetries } from './limits/createRetries.js'
 import { createLogClient } from './logService/createLogClient.js'
 import { createLogs } from './logging/createLogs.js'
+import { createIncarnation } from './membership/createIncarnation.js'
 import { createMembership } from './membership/createMembership.js'
 import { createVmListPoller } from './membership/createVmListPoller.js'
 import { createMetrics } from './metrics/createMetrics.js'
@@ -57,14 +60,29 @@
   const metrics = createMetrics(settings)
   const tracing = createTracing(settings)
   const now = (): number => performance.now()
-  const incarnation = randomUUID()
+  const incarnation = createIncarnation(Date.now(), randomUUID())
   let stopping = false
   let stopped: Promise<StopOutcome> | undefined
 
+  const peerClient = createPeerClient(settings.secrets.peer)
   const log = createLogClient(settings.logService.url)
-  const tailer = createConfigurationTailer(log, logs.part('configuration'))
+  const tailer = createConfigurationTailer({
+    log,
+    logger: logs.part('configuration'),
+    metrics,
+    router: settings.router,
+    retentionMs: settings.logService.retentionMs,
+    peers: () => configurationPeers(membership.livePeers()),
+    fetch: (address, since) => peerClient.configurationSince(address, since),
+    nowMs: Date.now,
+  })
   const configuration = () => tailer.state.configuration
-  const vmList = createVmListPoller(settings.vmList, logs.part('membership'))
+  const vmList = createVmListPoller({
+    settings: settings.vmList,
+    logger: logs.part('membership'),
+    metrics,
+    now,
+  })
   const vms = () => vmList.vms
 
   const addressesOfTargets = () =>
@@ -103,18 +121,23 @@
     incarnation,
     dataCentre: settings.router.dataCentre,
     configurationVersion: tailer.state.version,
+    configuration: describeConfiguration(tailer),
+    leaving: vmList.leaving(),
     stopping,
     digest: {
       targets: routing.ownInFlight(),
       customers: admission.inFlightByCustomer(),
-      started: admission.startedByCustomer(),
+      ...admission.ratesByCustomer(),
     },
   })
-  const peerClient = createPeerClient(settings.secrets.peer)
   const membership = createMembership({
     settings,
     client: peerClient,
     vms,
+    hearLeaving: (ages) => {
+      vmList.hearLeaving(ages)
+    },
+    logger: logs.part('membership'),
     self,
     now,
   })
@@ -123,6 +146,7 @@
       membership.heard(heartbeat)
       return self()
     },
+    onConfigurationSince: (since) => tailer.transfer(since),
   })
 
   const targets = createWatchedTargets(
