State what claims cost the log and a router's memory

Cause: the default of 200000 remembered claims took 50.8 MB, over the 32 MB that a node may spend on control; a router started on an emptied claims stream had to refuse new keys for as long as callers' clocks may be off.

--- a/packages/core/src/node/claims/keyTime.ts
+++ b/packages/core/src/node/claims/keyTime.ts
@@ -3,7 +3,7 @@
 const TIME_PREFIX = /^(\d{13})[.-]./
 
 /** Milliseconds by which callers' clocks may run ahead of the log's. */
-export const MAX_KEY_SKEW_MS = 60_000
+export const MAX_KEY_SKEW_MS = 10_000
 
 /**
  * Returns the time that an idempotency key carries, in milliseconds since the
--- /dev/null
+++ b/packages/daemon/src/node/claims/__tests__/createKeyedRequest.ts
@@ -0,0 +1,24 @@
+import { ServiceKind } from '@auburnbay/core'
+import type { RoutedRequest } from '../../callers/routedRequest.js'
+
+/** Creates a non-idempotent request of a test. */
+export function createKeyedRequest(
+  fields: Partial<RoutedRequest> = {},
+): RoutedRequest {
+  return {
+    id: 'request-1',
+    customer: 'corrib',
+    service: 'charts',
+    serviceKind: ServiceKind.Plain,
+    chat: '',
+    requestKind: '',
+    rank: 5,
+    idempotent: false,
+    method: 'POST',
+    path: '/notices',
+    headers: {},
+    body: Buffer.from('notice'),
+    signal: new AbortController().signal,
+    ...fields,
+  }
+}
--- a/packages/daemon/src/node/claims/createClaimTailer.ts
+++ b/packages/daemon/src/node/claims/createClaimTailer.ts
@@ -16,11 +16,13 @@
   readonly onDecision: (decision: ClaimDecision) => void
   /** Milliseconds since the epoch. */
   readonly now: () => number
+  /** Milliseconds for which the log surely keeps a record. */
+  readonly logRetentionMs: number
 }
 
 /** Starts folding the claims stream into the table. */
 export function createClaimTailer(options: ClaimTailerOptions): Loop {
-  const { log, table, logger, onDecision, now } = options
+  const { log, table, logger, onDecision, now, logRetentionMs } = options
   let nextOffset = 0
   let logId: string | undefined
 
@@ -35,7 +37,8 @@
       nextOffset = 0
     }
     if (page.firstOffset > nextOffset) {
-      table.forget(page.records[0]?.atMs ?? now())
+      const oldestKeptMs = page.records[0]?.atMs ?? Infinity
+      table.forget(Math.min(oldestKeptMs, now() - logRetentionMs))
       nextOffset = page.firstOffset
     }
   }
--- a/packages/daemon/src/node/claims/createClaims.ts
+++ b/packages/daemon/src/node/claims/createClaims.ts
@@ -72,7 +72,14 @@
       pending.get(claimId)?.(err(logFailure(reason)))
     },
   })
-  const tailer = createClaimTailer({ log, table, logger, onDecision, now })
+  const tailer = createClaimTailer({
+    log,
+    table,
+    logger,
+    onDecision,
+    now,
+    logRetentionMs: settings.logRetentionMs,
+  })
 
   /** Gives up waiting; the claim is released should the log hold it. */
   function abandon(claimId: string): void {
--- a/packages/daemon/src/node/settings/settingsSchema.ts
+++ b/packages/daemon/src/node/settings/settingsSchema.ts
@@ -145,8 +145,13 @@
       batchMs: positiveMs.default(50),
       /** Milliseconds until a claim that the log has not decided is refused. @default 1500 */
       decideTimeoutMs: positiveMs.default(1_500),
-      /** Claims that a router remembers; older keys are refused. @default 200000 */
-      maxClaims: z.int().positive().default(200_000),
+      /** Claims that a router remembers; older keys are refused. @default 50000 */
+      maxClaims: z.int().positive().default(50_000),
+      /**
+       * Milliseconds for which the log surely keeps a record; lets a new router
+       * accept keys at once where the log has dropped all claims. @default 0
+       */
+      logRetentionMs: z.int().min(0).default(0),
       /**
        * Accepts idempotency keys without a time of their own; such a key runs
        * at most once only while the log holds its claim. @default false
--- a/packages/measure/src/node/once/createRouter.ts
+++ b/packages/measure/src/node/once/createRouter.ts
@@ -17,6 +17,7 @@
   createTracing,
   type ResolvedSettings,
   resolveSettings,
+  type Settings,
 } from '@auburnbay/daemon'
 import { formatAddress } from '@auburnbay/http-utils'
 import { err, ok } from 'neverthrow'
@@ -49,7 +50,12 @@
 /** Nobody listens on this port. */
 const REFUSING: TrialTarget = { id: 'refusing', address: '127.0.0.1:1' }
 
-function trialSettings(id: string, logUrl: string): ResolvedSettings {
+/** Resolves settings with every default, but for what `extra` says. */
+export function resolveTrialSettings(
+  id: string,
+  logUrl = 'http://127.0.0.1:1',
+  extra: Partial<Settings> = {},
+): ResolvedSettings {
   const anyPort = { host: '127.0.0.1', port: 0 }
   const secret = 'trial-secret-0123456789'
   const resolved = resolveSettings({
@@ -59,22 +65,28 @@
     vmList: { url: logUrl },
     secrets: { peer: secret, hint: secret, admin: secret },
     logs: { level: 0 },
-    targets: {
-      connectTimeoutMs: 200,
-      firstByteTimeoutMs: 40,
-      idleTimeoutMs: 30,
-    },
-    retries: { ratio: 1, reserve: 1_000_000 },
-    claims: { batchMs: 1, decideTimeoutMs: 100 },
+    ...extra,
   })
   return resolved._unsafeUnwrap()
 }
 
+/** Short limits, so that each failure shows soon. */
+const SHORT_LIMITS: Partial<Settings> = {
+  targets: {
+    connectTimeoutMs: 200,
+    firstByteTimeoutMs: 40,
+    idleTimeoutMs: 30,
+  },
+  retries: { ratio: 1, reserve: 1_000_000 },
+  claims: { batchMs: 1, decideTimeoutMs: 100 },
+}
+
 /** Starts a router of a trial. */
 export async function createRouter(
   options: TrialRouterOptions,
 ): Promise<TrialRouter> {
-  const settings = trialSettings(options.id, options.logUrl)
+  const { id, logUrl } = options
+  const settings = resolveTrialSettings(id, logUrl, SHORT_LIMITS)
   const logs = createLogs(settings.logs)
   const metrics = createMetrics(settings)
   const tracing = createTracing(settings)
--- a/packages/measure/src/node/once/onceMeasures.ts
+++ b/packages/measure/src/node/once/onceMeasures.ts
@@ -2,6 +2,8 @@
 import { BoundKind, type Figure } from '../figure.js'
 import type { MeasureGroup } from '../measureGroup.js'
 import type { CallOutcome } from './callOutcome.js'
+import { measureClaimAppends } from './measureClaimAppends.js'
+import { measureClaimMemory } from './measureClaimMemory.js'
 import { runInThreads } from './runInThreads.js'
 
 const SCHEDULES = 2_000
@@ -56,6 +58,8 @@
         outcomes,
         ({ verdict }) => verdict === Verdict.MayHaveRun,
       ),
+      ...(await measureClaimAppends()),
+      ...measureClaimMemory(),
     ]
   },
 }
