--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -215,11 +215,13 @@
       claims.stop(),
       peerServer.stop(),
     ])
-    await Promise.race([parts, sleep(STOP_PARTS_MS, undefined, { ref: false })])
+    const closed = parts.then(() =>
+      Promise.all([tracing.close(), metrics.close()]),
+    )
+    const late = sleep(STOP_PARTS_MS, undefined, { ref: false })
+    await Promise.race([closed, late])
     targets.close()
     peerClient.close()
-    await tracing.close()
-    await metrics.close()
     logger.info('Stopped.')
     return outcome
   }
