--- a/packages/daemon/src/node/__tests__/startFleet.ts
+++ b/packages/daemon/src/node/__tests__/startFleet.ts
@@ -19,7 +19,8 @@
   type StandIn,
   type VmListStandIn,
 } from '@auburnbay/stand-ins'
-import { createDaemon, type Daemon } from '../createDaemon.js'
+import { createDaemon } from '../createDaemon.js'
+import type { Daemon } from '../daemon.js'
 import { resolveSettings } from '../settings/resolveSettings.js'
 import type { Settings } from '../settings/settingsSchema.js'
 
@@ -79,6 +80,8 @@
     logs: { level: 0 },
     peers: { heartbeatMs: 50 },
     targets: { reportMs: 50 },
+    // A busy machine must not push requests into the fall-back at random.
+    routing: { homeLimitMs: 500 },
     stopping: { balancerDelayMs: 0, drainTimeoutMs: 10_000 },
     ...extra,
   }
--- a/packages/daemon/src/node/admission/__tests__/queueing.test.ts
+++ b/packages/daemon/src/node/admission/__tests__/queueing.test.ts
@@ -30,6 +30,7 @@
     await fleet.patch(
       [
         add('/targets/engine-1/maxInFlight', 1),
+        add('/targets/charts-1/maxInFlight', 1),
         add('/customers/member', { keys: { office: member.stored } }),
         add('/rules/urgent', { requestKind: 'route', rank: 0 }),
         add('/rules/tagging', { requestKind: 'tag', rank: 9 }),
@@ -104,6 +105,7 @@
     const late = await call('late', { [DEADLINE_HEADER]: '60' }).answer
     assert.equal(late?.status, 504)
     assert.equal(late.headers[VERDICT_HEADER], 'not-run')
+    assert.match(late.text, /deadline passed while the request waited/)
     holder.leave()
     assert.equal((await call('next').answer)?.status, 200)
     assert.deepEqual(ranChats().slice(before), ['next'])
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -1,9 +1,7 @@
 import { randomUUID } from 'node:crypto'
 import { performance } from 'node:perf_hooks'
 import { setTimeout as sleep } from 'node:timers/promises'
-import type { ListenAddress } from '@auburnbay/http-utils'
 import { createAdminServer } from './admin/createAdminServer.js'
-import type { Admission } from './admission/admission.js'
 import { createFleetAdmission } from './admission/createFleetAdmission.js'
 import { createWaitingRouting } from './admission/createWaitingRouting.js'
 import { createCallerServer } from './callers/createCallerServer.js'
@@ -12,6 +10,7 @@
 import { configurationPeers } from './configuration/configurationPeers.js'
 import { createConfigurationTailer } from './configuration/createConfigurationTailer.js'
 import { describeConfiguration } from './configuration/describeConfiguration.js'
+import type { Daemon } from './daemon.js'
 import { createTargetHealth } from './health/createTargetHealth.js'
 import { createWatchedTargets } from './health/createWatchedTargets.js'
 import { createRetries } from './limits/createRetries.js'
@@ -24,8 +23,10 @@
 import { createPeerClient } from './peers/createPeerClient.js'
 import { createPeerServer } from './peers/createPeerServer.js'
 import type { Heartbeat } from './peers/heartbeat.js'
+import { chatKey } from './routing/chatKey.js'
 import { createRouting } from './routing/createRouting.js'
 import type { ResolvedSettings } from './settings/settingsSchema.js'
+import { createCacheEventReader } from './targets/createCacheEventReader.js'
 import { stopCallers } from './stopping/stopCallers.js'
 import type { StopOutcome } from './stopping/stopOutcome.js'
 import { createLoadReporter } from './targets/createLoadReporter.js'
@@ -35,22 +36,6 @@
 /** Milliseconds that a router's parts may take to stop once no caller waits. */
 const STOP_PARTS_MS = 5_000
 
-/** The addresses a daemon has taken. */
-export interface DaemonAddresses {
-  readonly callers: ListenAddress
-  readonly peers: ListenAddress
-  readonly admin: ListenAddress
-}
-
-/** A running router. */
-export interface Daemon {
-  readonly addresses: DaemonAddresses
-  /** Requests that run and that wait. */
-  readonly load: Pick<Admission, 'running' | 'waiting'>
-  /** Stops gracefully; requests are cut off only beyond the settings' limit. */
-  stop(): Promise<StopOutcome>
-}
-
 /** Starts a router; rejects when an address is in use. */
 export async function createDaemon(
   settings: ResolvedSettings,
@@ -85,16 +70,6 @@
   })
   const vms = () => vmList.vms
 
-  const addressesOfTargets = () =>
-    Object.entries(configuration().targets).map(([id, { address }]) => ({
-      id,
-      address,
-    }))
-  const reporter = createLoadReporter(
-    addressesOfTargets,
-    settings.targets.reportMs,
-    now,
-  )
   const health = createTargetHealth({
     settings: settings.health,
     configuration,
@@ -104,7 +79,30 @@
   })
   const eligible = (targetId: string, idempotent: boolean) =>
     health.eligible(targetId, idempotent)
-  const routing = createRouting({ configuration, vms, reporter, eligible })
+  const routing = createRouting({
+    settings,
+    incarnation,
+    configuration,
+    vms,
+    membership: () => membership,
+    client: peerClient,
+    reporter: () => reporter,
+    cacheEvents: () => cacheEvents,
+    eligible,
+    metrics,
+    now,
+  })
+  const reporter = createLoadReporter(
+    () => routing.homeTargets(),
+    settings.targets.reportMs,
+    now,
+  )
+  const cacheEvents = createCacheEventReader({
+    targets: () => routing.homeTargets(),
+    everyMs: settings.targets.reportMs,
+    maxChats: settings.routing.indexedChats,
+    keyOf: chatKey,
+  })
   const admission = createFleetAdmission({
     settings,
     configuration,
@@ -147,6 +145,8 @@
       return self()
     },
     onConfigurationSince: (since) => tailer.transfer(since),
+    onGrant: (ask) => routing.onGrant(ask),
+    onCollect: (ask) => routing.onCollect(ask),
   })
 
   const targets = createWatchedTargets(
@@ -207,7 +207,9 @@
     const outcome = await stopCallers(callers, settings.stopping, logger)
     const parts = Promise.all([
       admin.stop(),
+      routing.stop(),
       reporter.stop(),
+      cacheEvents.stop(),
       vmList.stop(),
       membership.stop(),
       admission.stop(),
