--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -6,8 +6,8 @@
 import { createWaitingRouting } from './admission/createWaitingRouting.js'
 import { createCallerServer } from './callers/createCallerServer.js'
 import { createDispatcher } from './callers/createDispatcher.js'
-import { configurationPeers } from './configuration/configurationPeers.js'
 import { createClaims } from './claims/createClaims.js'
+import { configurationPeers } from './configuration/configurationPeers.js'
 import { createConfigurationTailer } from './configuration/createConfigurationTailer.js'
 import { describeConfiguration } from './configuration/describeConfiguration.js'
 import type { Daemon } from './daemon.js'
@@ -217,11 +217,13 @@
       claims.stop(),
       peerServer.stop(),
     ])
-    await Promise.race([parts, sleep(STOP_PARTS_MS, undefined, { ref: false })])
+    const closed = parts.then(() =>
+      Promise.all([tracing.close(), metrics.close()]),
+    )
+    const late = sleep(STOP_PARTS_MS, undefined, { ref: false })
+    await Promise.race([closed, late])
     targets.close()
     peerClient.close()
-    await tracing.close()
-    await metrics.close()
     logger.info('Stopped.')
     return outcome
   }
