Call each peer once per interval and let the first move stand

Change: a peer that has just called is not called; departures are announced for a minute; of two moves of one version the first one stands.

--- a/packages/core/src/node/configuration/configurationSchema.ts
+++ b/packages/core/src/node/configuration/configurationSchema.ts
@@ -2,6 +2,7 @@
 import { DEFAULT_MAX_LOAD_FACTOR, DEFAULT_RANK } from '../constants.js'
 import { saltedHashSchema } from '../security/saltedHash.js'
 import { operatorSchema, teamSchema } from '../teams/teamSchema.js'
+import { engineStateSchema } from '../orders/engineState.js'
 import { ServiceKind } from './serviceKind.js'
 
 const id = z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/)
@@ -32,6 +33,8 @@
   maxInFlight: z.int().positive().optional(),
   /** Whether the target refuses orders with an old fencing token. */
   checksFencing: z.boolean().default(false),
+  /** What the engine is ordered to hold; no orders are sent without it. */
+  desired: engineStateSchema.optional(),
   /** Whether the target gets no new requests. */
   draining: z.boolean().optional(),
 })
--- a/packages/core/src/node/configuration/digestPeers.ts
+++ b/packages/core/src/node/configuration/digestPeers.ts
@@ -1,4 +1,9 @@
-import { DIGEST_FANOUT, FULL_MESH_ROUTERS } from '../constants.js'
+import {
+  DIGEST_FANOUT,
+  FULL_MESH_ROUTERS,
+  TAILERS_PER_DATA_CENTRE,
+} from '../constants.js'
+import { hash32 } from '../hash/hash32.js'
 import { rendezvousOrder } from '../routing/rendezvousOrder.js'
 import { type RouterPlace, tailerOrder } from './tailers.js'
 
@@ -26,6 +31,17 @@
   return [...parents]
 }
 
+/** Part of the interval within which a peer's own call makes ours needless. */
+const HEARD_SHARE = 0.8
+
+/** Decides whether a peer is called, or has itself just exchanged heartbeats. */
+export function isHeartbeatDue(
+  ageMs: number | undefined,
+  heartbeatMs: number,
+): boolean {
+  return ageMs === undefined || ageMs >= heartbeatMs * HEARD_SHARE
+}
+
 function remotePeers(
   self: RouterPlace,
   others: readonly RouterPlace[],
@@ -39,7 +55,9 @@
   }
   const places = [...far.keys()].map((id) => ({ id, weight: 1 }))
   const nearest = rendezvousOrder(`far\n${self.id}`, places).slice(0, 2)
+  // Callers are spread over the readers of the log there.
+  const rank = hash32(self.id) % TAILERS_PER_DATA_CENTRE
   return nearest.flatMap(({ id }) =>
-    tailerOrder(id, far.get(id) ?? []).slice(0, 1),
+    tailerOrder(id, far.get(id) ?? []).slice(rank, rank + 1),
   )
 }
--- a/packages/core/src/node/membership/constants.ts
+++ b/packages/core/src/node/membership/constants.ts
@@ -1,5 +1,5 @@
 /** Milliseconds for which a heard departure counts without being heard again. */
-export const LEAVING_TTL_MS = 10_000
+export const LEAVING_TTL_MS = 6_000
 /** Departures that a heartbeat carries at most. */
 export const LEAVING_MAX_IDS = 256
 /** Shortest hold of a target that came back, in milliseconds. */
@@ -12,3 +12,5 @@
 export const DEPARTED_MAX_IDS = 20_000
 /** Longest time between two ticks that does not count as a pause, in milliseconds. */
 export const PAUSE_MS = 1_000
+/** Milliseconds for which a router announces a departure that it saw. */
+export const LEAVING_ANNOUNCE_MS = 60_000
--- a/packages/core/src/node/membership/vmView.ts
+++ b/packages/core/src/node/membership/vmView.ts
@@ -3,6 +3,7 @@
   FLAP_HOLD_MS,
   FLAP_MAX_HOLD_MS,
   FLAP_MEMORY_MS,
+  LEAVING_ANNOUNCE_MS,
   LEAVING_MAX_IDS,
   LEAVING_TTL_MS,
 } from './constants.js'
@@ -24,6 +25,8 @@
   /** VMs kept although the list misses them, as too many vanished at once. */
   readonly held: readonly string[]
   readonly flaps: ReadonlyMap<string, Flaps>
+  /** When this router first saw a VM leave, by id. */
+  readonly leftAtMs: ReadonlyMap<string, number>
   /** When some router saw a VM leave, by id; milliseconds of the own clock. */
   readonly heardLeaving: ReadonlyMap<string, number>
 }
@@ -35,6 +38,7 @@
     departed: new Map(),
     held: [],
     flaps: new Map(),
+    leftAtMs: new Map(),
     heardLeaving: new Map(),
   }
 }
@@ -96,6 +100,20 @@
   return departed
 }
 
+function findLeft(
+  view: VmView,
+  next: ReadonlyMap<string, VmEntry>,
+  departed: ReadonlyMap<string, VmEntry>,
+  nowMs: number,
+): Map<string, number> {
+  const left = new Map<string, number>()
+  for (const [id, vm] of next)
+    if (vm.state === MemberState.Leaving)
+      left.set(id, view.leftAtMs.get(id) ?? nowMs)
+  for (const id of departed.keys()) left.set(id, view.leftAtMs.get(id) ?? nowMs)
+  return left
+}
+
 /** Takes in a list; VMs of a role of which over half vanish at once are held. */
 export function applyVmList(
   view: VmView,
@@ -105,10 +123,12 @@
   const next = byId(list)
   const held = findHeld(view, next)
   for (const vm of held) next.set(vm.id, vm)
+  const departed = findDeparted(view, next)
   return {
     ...view,
     listed: next,
-    departed: findDeparted(view, next),
+    departed,
+    leftAtMs: findLeft(view, next, departed, nowMs),
     held: held.map(({ id }) => id),
     flaps: countFlaps(view, next, nowMs),
   }
@@ -137,10 +157,10 @@
 ): Record<string, number> {
   const ages = new Map<string, number>()
   for (const [id, atMs] of view.heardLeaving)
-    if (nowMs - atMs <= LEAVING_TTL_MS) ages.set(id, nowMs - atMs)
-  for (const [id, vm] of view.listed)
-    if (vm.state === MemberState.Leaving) ages.set(id, 0)
-  for (const id of view.departed.keys()) ages.set(id, 0)
+    if (nowMs - atMs <= LEAVING_TTL_MS) ages.set(id, Math.ceil(nowMs - atMs))
+  // Later the lists of the others show it as well.
+  for (const [id, atMs] of view.leftAtMs)
+    if (nowMs - atMs <= LEAVING_ANNOUNCE_MS) ages.set(id, 0)
   const youngest = [...ages].sort((a, b) => a[1] - b[1])
   return Object.fromEntries(youngest.slice(0, LEAVING_MAX_IDS))
 }
--- a/packages/core/src/node/snapshot/__tests__/snapshot.test.ts
+++ b/packages/core/src/node/snapshot/__tests__/snapshot.test.ts
@@ -83,6 +83,15 @@
   })
 })
 
+describe('two moves at once', () => {
+  it('lets the first one stand', () => {
+    const first = moveSnapshot(stateOf(5), 'log-2', 2, 'one')
+    const second = moveSnapshot(stateOf(5), 'log-2', 4, 'two')
+    const { state } = chooseSnapshot(stateOf(5), 'log-2', [first, second])
+    assert.equal(state?.nextOffset, 2)
+  })
+})
+
 describe('scheduleSnapshot', () => {
   const routers = ['r-1', 'r-2', 'r-3']
   const hour = 3_600_000
--- a/packages/daemon/src/node/membership/createMembership.ts
+++ b/packages/daemon/src/node/membership/createMembership.ts
@@ -1,6 +1,7 @@
 import {
   createPeerLiveness,
   digestPeers,
+  isHeartbeatDue,
   MemberState,
   type VmEntry,
   VmRole,
@@ -81,7 +82,13 @@
     reportDuplicates()
     const listed = routers()
     const chosen = new Set(digestPeers({ id: own, dataCentre }, listed))
-    for (const vm of listed) if (chosen.has(vm.id)) void call(vm)
+    const ages = new Map(
+      liveness.live(now()).map(({ id, ageMs }) => [id, ageMs]),
+    )
+    const { heartbeatMs } = settings.peers
+    for (const vm of listed)
+      if (chosen.has(vm.id) && isHeartbeatDue(ages.get(vm.id), heartbeatMs))
+        void call(vm)
   }
 
   function livePeers(): PeerStatus[] {
