Bring engines to the ordered state under a lease

Cause: nothing sent orders to engines. Excluded: a lease by wall clocks (they drift), conditional orders (engines that do not check fencing tokens would apply a late one for good). Change: leases in log order under the log's own clock, the offset as fencing token; a pure plan that drains first, empties a quarter of a service at once, corrects a strayed engine at once and keeps to the weight store's rate; the daemon looks at log and clock right before sending and reads the state back. Figures of configuration, membership and orders in npm run measure -- state.

--- a/packages/core/src/node/constants.ts
+++ b/packages/core/src/node/constants.ts
@@ -42,3 +42,7 @@
 export const FULL_MESH_ROUTERS = 16
 /** Routers that follow one router in the tree of a data centre. */
 export const DIGEST_FANOUT = 8
+/** Stream of the log service that carries leases. */
+export const LEASE_STREAM = 'leases'
+/** Name of the lease for sending orders to engines. */
+export const ORDER_LEASE = 'orders'
--- /dev/null
+++ b/packages/core/src/node/leases/__tests__/leases.test.ts
@@ -0,0 +1,64 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import { findHeldLease } from '../heldLease.js'
+import { applyLeaseRecord, createLeaseTable } from '../leaseTable.js'
+
+function ask(holder: string, requestId: string, ttlMs = 1_000) {
+  return { type: 'lease', name: 'orders', holder, ttlMs, requestId }
+}
+
+describe('leases', () => {
+  it('goes to the first in log order and stays until it ends', () => {
+    let table = createLeaseTable()
+    const records = [
+      { offset: 4, atMs: 100, value: ask('a', '1') },
+      { offset: 5, atMs: 100, value: ask('b', '2') },
+      { offset: 6, atMs: 900, value: ask('a', '3') },
+      { offset: 7, atMs: 1_200, value: ask('b', '4') },
+    ]
+    for (const record of records) table = applyLeaseRecord(table, record)
+    assert.equal(table.leases.get('orders')?.holder, 'a')
+    assert.equal(table.leases.get('orders')?.token, 4)
+    const late = { offset: 8, atMs: 1_900, value: ask('b', '5') }
+    table = applyLeaseRecord(table, late)
+    assert.equal(table.leases.get('orders')?.holder, 'b')
+    assert.equal(table.leases.get('orders')?.token, 8)
+  })
+
+  it('never has two holders that may act at once, and tokens only grow', () => {
+    const step = fc.record({
+      holder: fc.constantFrom('a', 'b', 'c'),
+      delayMs: fc.nat(400),
+      gapMs: fc.nat(700),
+      ttlMs: fc.constantFrom(500, 1_000),
+    })
+    const property = fc.property(fc.array(step, { maxLength: 30 }), (steps) => {
+      let table = createLeaseTable()
+      let nowMs = 0
+      let token = -1
+      const spans: { holder: string; from: number; to: number }[] = []
+      for (const [offset, each] of steps.entries()) {
+        const { holder, ttlMs, delayMs, gapMs } = each
+        const sentAtMs = nowMs
+        nowMs += delayMs
+        const requestId = String(offset)
+        const value = ask(holder, requestId, ttlMs)
+        table = applyLeaseRecord(table, { offset, atMs: nowMs, value })
+        const sent = { name: 'orders', requestId, ttlMs, sentAtMs }
+        const held = findHeldLease(table, sent)
+        if (held) {
+          assert.ok(held.token >= token)
+          token = held.token
+          spans.push({ holder, from: nowMs, to: held.validUntilMs })
+        }
+        nowMs += gapMs
+      }
+      for (const one of spans)
+        for (const other of spans)
+          if (one.holder !== other.holder && one.from < other.from)
+            assert.ok(one.to <= other.from, 'two holders may act at once')
+    })
+    fc.assert(property, { seed: 3, numRuns: 2_000 })
+  })
+})
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from 'node:crypto'
 import { performance } from 'node:perf_hooks'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { ORDER_LEASE } from '@auburnbay/core'
 import type { ListenAddress } from '@auburnbay/http-utils'
 import { createAdminServer } from './admin/createAdminServer.js'
 import type { Admission } from './admission/admission.js'
@@ -20,6 +21,8 @@
 import { createMembership } from './membership/createMembership.js'
 import { createVmListPoller } from './membership/createVmListPoller.js'
 import { createMetrics } from './metrics/createMetrics.js'
+import { createLeaseKeeper } from './orders/createLeaseKeeper.js'
+import { createOrderTask } from './orders/createOrderTask.js'
 import { createPeerClient } from './peers/createPeerClient.js'
 import { createPeerServer } from './peers/createPeerServer.js'
 import type { Heartbeat } from './peers/heartbeat.js'
@@ -134,6 +137,28 @@
     self,
     now,
   })
+  const orders = createOrderTask({
+    router: settings.router.id,
+    configuration,
+    peers: () => membership.livePeers(),
+    ownInFlight: () => routing.ownInFlight(),
+    reporter,
+    lease: createLeaseKeeper({
+      log,
+      name: ORDER_LEASE,
+      holder: `${settings.router.id}/${incarnation}`,
+      ttlMs: settings.orders.leaseMs,
+      now,
+      nowEpochMs: Date.now,
+    }),
+    announce: (targets) => {
+      vmList.hearLeaving(Object.fromEntries(targets.map((id) => [id, 0])))
+    },
+    readsLog: () => tailer.connected,
+    loadsPerMinute: settings.orders.weightLoadsPerMinute,
+    now,
+    logger: logs.part('orders'),
+  })
   const peerServer = await createPeerServer(settings, {
     onHeartbeat: (heartbeat) => {
       membership.heard(heartbeat)
@@ -204,6 +229,7 @@
       vmList.stop(),
       membership.stop(),
       admission.stop(),
+      orders.stop(),
       tailer.stop(),
       peerServer.stop(),
     ])
--- a/packages/daemon/src/node/settings/settingsSchema.ts
+++ b/packages/daemon/src/node/settings/settingsSchema.ts
@@ -25,6 +25,14 @@
     /** Milliseconds that the log keeps a record. @default 604800000 */
     retentionMs: positiveMs.default(604_800_000),
   }),
+  orders: z
+    .strictObject({
+      /** Milliseconds that the right to send orders lasts. @default 15000 */
+      leaseMs: positiveMs.default(15_000),
+      /** Loads of weights a minute over the whole fleet. @default 6 */
+      weightLoadsPerMinute: z.number().positive().default(6),
+    })
+    .prefault({}),
   vmList: z.strictObject({
     url: z.url(),
     /** @default 1000 */
--- a/packages/measure/src/node/measureGroups.ts
+++ b/packages/measure/src/node/measureGroups.ts
@@ -1,9 +1,11 @@
 import { limitsMeasures } from './limits/limitsMeasures.js'
 import type { MeasureGroup } from './measureGroup.js'
 import { routingMeasures } from './routing/routingMeasures.js'
+import { stateMeasures } from './state/stateMeasures.js'
 
 /** Every group, in the order in which they run. */
 export const measureGroups: readonly MeasureGroup[] = [
   routingMeasures,
   limitsMeasures,
+  stateMeasures,
 ]
--- /dev/null
+++ b/packages/measure/src/node/state/measurePropagation.ts
@@ -0,0 +1,124 @@
+import { shouldTail, tailerOrder } from '@auburnbay/core'
+import { BoundKind, type Figure } from '../figure.js'
+import { createRandom } from '../limits/createRandom.js'
+import {
+  countPartners,
+  createPeerLists,
+  createRouters,
+} from './fleetOfRouters.js'
+
+/** Seconds within which a change is in force everywhere. */
+const IN_FORCE_BOUND_S = 18
+/** Reads and appends that the log service takes a second. */
+const LOG_CALLS_PER_S = 300
+const TICK_MS = 50
+const LOG_READ_MS = 100
+const FETCH_MS = 100
+const LOST_HEARTBEATS = 0.05
+const DEAD_ROUTERS = 0.01
+const SEEDS = 5
+const HORIZON_MS = 120_000
+
+interface FleetSize {
+  readonly name: string
+  readonly routers: number
+  readonly dataCentres: number
+  readonly heartbeatMs: number
+}
+
+const SIZES: readonly FleetSize[] = [
+  { name: '9-nodes', routers: 9, dataCentres: 3, heartbeatMs: 500 },
+  { name: '2600-nodes', routers: 2_600, dataCentres: 11, heartbeatMs: 1_000 },
+]
+
+/** Simulates one change; returns when the last live router has it, in ms. */
+function spread(
+  size: FleetSize,
+  peers: readonly number[][],
+  tailers: ReadonlySet<number>,
+  seed: number,
+): number {
+  const random = createRandom(seed)
+  const inForceAt = new Array<number>(size.routers).fill(Infinity)
+  const phases = inForceAt.map(() => random.uniform() * size.heartbeatMs)
+  const dead = phases.map(() => random.uniform() < DEAD_ROUTERS)
+  for (const tailer of tailers)
+    if (!dead[tailer]) inForceAt[tailer] = LOG_READ_MS * (1 + random.uniform())
+  for (let nowMs = 0; nowMs < HORIZON_MS; nowMs += TICK_MS) {
+    const isDone = inForceAt.every(
+      (at, index) => dead[index] === true || at <= nowMs,
+    )
+    if (isDone) return nowMs
+    for (const [index, phase] of phases.entries()) {
+      const sinceDue = (nowMs - phase + size.heartbeatMs) % size.heartbeatMs
+      if (dead[index] || sinceDue >= TICK_MS) continue
+      for (const peer of peers[index] ?? []) {
+        if (dead[peer] || random.uniform() < LOST_HEARTBEATS) continue
+        exchange(inForceAt, index, peer, nowMs)
+      }
+    }
+  }
+  return HORIZON_MS
+}
+
+function exchange(
+  inForceAt: number[],
+  one: number,
+  other: number,
+  nowMs: number,
+): void {
+  const knows = (index: number): boolean =>
+    (inForceAt[index] ?? Infinity) <= nowMs
+  if (knows(one) === knows(other)) return
+  const behind = knows(one) ? other : one
+  inForceAt[behind] = Math.min(inForceAt[behind] ?? Infinity, nowMs + FETCH_MS)
+}
+
+function measureSize(size: FleetSize): Figure[] {
+  const routers = createRouters(size.routers, size.dataCentres)
+  const peers = createPeerLists(routers)
+  const orders = new Map<string, string[]>()
+  for (const { dataCentre } of routers)
+    if (!orders.has(dataCentre))
+      orders.set(dataCentre, tailerOrder(dataCentre, routers))
+  const tailers = new Set<number>()
+  for (const [index, router] of routers.entries()) {
+    const near = new Set((orders.get(router.dataCentre) ?? []).slice(0, 4))
+    const others = routers
+      .filter(({ id }) => near.has(id) && id !== router.id)
+      .map((peer) => ({ ...peer, readsLog: true }))
+    if (shouldTail(router, others)) tailers.add(index)
+  }
+  let worstMs = 0
+  for (let seed = 1; seed <= SEEDS; seed += 1)
+    worstMs = Math.max(worstMs, spread(size, peers, tailers, seed))
+  const degrees = countPartners(peers)
+  return [
+    {
+      measure: `state.in-force-everywhere-${size.name}`,
+      value: worstMs / 1_000,
+      unit: 's, worst of 5 seeds, 5% of heartbeats lost, 1% of routers dead',
+      bound: IN_FORCE_BOUND_S,
+      baseline: size.routers / LOG_CALLS_PER_S,
+    },
+    {
+      measure: `state.log-readers-${size.name}`,
+      value: tailers.size,
+      unit: 'routers that read the log',
+      bound: LOG_CALLS_PER_S,
+      boundKind: BoundKind.AtMost,
+      baseline: size.routers,
+    },
+    {
+      measure: `state.most-heartbeats-${size.name}`,
+      value: (Math.max(...degrees) * 1_000) / size.heartbeatMs,
+      unit: 'heartbeat calls a second of the busiest router',
+      baseline: ((size.routers - 1) * 1_000) / size.heartbeatMs,
+    },
+  ]
+}
+
+/** Time until a change is in force everywhere, and what it costs the log. */
+export function measurePropagation(): Figure[] {
+  return SIZES.flatMap(measureSize)
+}
--- /dev/null
+++ b/packages/measure/src/node/state/stateMeasures.ts
@@ -0,0 +1,22 @@
+import type { MeasureGroup } from '../measureGroup.js'
+import { measureAppends } from './measureAppends.js'
+import { measureConfigurationFaults } from './measureConfigurationFaults.js'
+import { measureDigestBytes } from './measureDigestBytes.js'
+import { measureLeaving } from './measureLeaving.js'
+import { measureOrderWindow } from './measureOrderWindow.js'
+import { measurePatchCost } from './measurePatchCost.js'
+import { measurePropagation } from './measurePropagation.js'
+
+/** Figures of configuration, orders and membership. */
+export const stateMeasures: MeasureGroup = {
+  name: 'state',
+  run: () => [
+    ...measureConfigurationFaults(),
+    ...measurePropagation(),
+    ...measureAppends(),
+    ...measureDigestBytes(),
+    measurePatchCost(),
+    ...measureOrderWindow(),
+    ...measureLeaving(),
+  ],
+}
--- a/packages/stand-ins/src/node/engine/createEngine.ts
+++ b/packages/stand-ins/src/node/engine/createEngine.ts
@@ -11,6 +11,12 @@
 import { createStandIn, type StandInRequest } from '../server/createStandIn.js'
 import type { StandIn } from '../server/standIn.js'
 import { createEngineFaults, type EngineFaults } from './engineFaults.js'
+import {
+  createEngineOrders,
+  type EngineOrderOptions,
+  type EngineOrders,
+  ORDER_PATH,
+} from './orders.js'
 import type { EngineRun } from './engineRun.js'
 import { generate } from './generate.js'
 import { writeStream } from './writeStream.js'
@@ -23,6 +29,8 @@
   readonly wordDelayMs?: number
   /** Words of an answer. @default 12 */
   readonly words?: number
+  /** How it takes orders. */
+  readonly orders?: EngineOrderOptions
 }
 
 /** A model engine's stand-in. */
@@ -32,7 +40,8 @@
   readonly script: Partial<EngineFaults>[]
   /** What truly ran, in order. */
   readonly runs: readonly EngineRun[]
-  readonly options: Required<EngineOptions>
+  readonly options: Required<Omit<EngineOptions, 'orders'>>
+  readonly orders: EngineOrders
 }
 
 interface ChatBody {
@@ -63,6 +72,7 @@
     wordDelayMs: options.wordDelayMs ?? 0,
     words: options.words ?? DEFAULT_ENGINE_WORDS,
   }
+  const orders = createEngineOrders(options.orders)
   const faults = createEngineFaults()
   const script: Partial<EngineFaults>[] = []
   const taken = new WeakMap<object, EngineFaults>()
@@ -202,6 +212,7 @@
       Object.assign(faults, call.body)
       sendJson(res, 200, faults)
     } else if (url.pathname === '/load') sendJson(res, 200, { inFlight })
+    else if (url.pathname === ORDER_PATH) await orders.handle(call, inFlight)
     else if (url.pathname === '/runs') sendJson(res, 200, runs)
     else if (runOfStream !== undefined)
       await resume(call, runOfStream, switches)
@@ -224,5 +235,5 @@
     if (switches.resetBefore) req.socket.destroy()
     return !switches.resetBefore
   })
-  return { ...standIn, faults, script, runs, options: resolved }
+  return { ...standIn, orders, faults, script, runs, options: resolved }
 }
--- /dev/null
+++ b/packages/stand-ins/src/node/weightStore/createWeightStore.ts
@@ -0,0 +1,42 @@
+import { type ListenAddress, sendJson } from '@auburnbay/http-utils'
+import { createStandIn } from '../server/createStandIn.js'
+import type { StandIn } from '../server/standIn.js'
+
+/** The weight store's stand-in. */
+export interface WeightStoreStandIn extends StandIn {
+  /** Loads allowed within any minute; change it at will. */
+  loadsPerMinute: number
+  /** When each load was served, in milliseconds of `now`. */
+  readonly served: readonly number[]
+  /** Loads that were refused. */
+  readonly refused: readonly number[]
+}
+
+const MINUTE_MS = 60_000
+
+/** Starts a stand-in for the rate-limited weight store. */
+export async function createWeightStore(
+  loadsPerMinute: number,
+  address?: ListenAddress,
+  now: () => number = Date.now,
+): Promise<WeightStoreStandIn> {
+  const served: number[] = []
+  const refused: number[] = []
+  const limits = { loadsPerMinute, served, refused }
+  const standIn = await createStandIn(({ url, res }) => {
+    if (!url.pathname.startsWith('/weights/')) {
+      sendJson(res, 404, { error: 'unknown path' })
+      return
+    }
+    const atMs = now()
+    const recent = served.filter((servedMs) => atMs - servedMs < MINUTE_MS)
+    if (recent.length >= limits.loadsPerMinute) {
+      refused.push(atMs)
+      sendJson(res, 429, { error: 'too many loads' }, { 'retry-after': '10' })
+      return
+    }
+    served.push(atMs)
+    sendJson(res, 200, { bytes: 0 })
+  }, address)
+  return Object.assign(limits, standIn)
+}
