--- a/packages/measure/src/node/limits/limitsMeasures.ts
+++ b/packages/measure/src/node/limits/limitsMeasures.ts
@@ -1,6 +1,8 @@
 import type { MeasureGroup } from '../measureGroup.js'
 import { deployments } from './deployments.js'
+import { measureFleetLimits } from './measureFleetLimits.js'
 import { measureOrder } from './measureOrder.js'
+import { measureRetries } from './measureRetries.js'
 import { measureShares } from './measureShares.js'
 import { measureShedding } from './measureShedding.js'
 
@@ -10,6 +12,8 @@
   run: () => [
     ...deployments.flatMap(measureOrder),
     ...deployments.flatMap(measureShares),
+    ...measureFleetLimits(),
+    ...deployments.flatMap(measureRetries),
     ...deployments.flatMap(measureShedding),
   ],
 }
--- a/playground/corrib/src/node/main.ts
+++ b/playground/corrib/src/node/main.ts
@@ -8,6 +8,9 @@
 import { startStandIns } from './startStandIns.js'
 import { streamChat } from './streamChat.js'
 
+/** Milliseconds that a caller reads before the next question. */
+const READING_MS = 500
+
 interface RouterReady {
   readonly addresses: DaemonAddresses
 }
@@ -82,6 +85,7 @@
   const callers = url(router, 'callers')
   await waitUntilReady(callers)
   const prompt = index === 0 ? 'Ice in Baffin Bay?' : 'And tomorrow?'
+  await sleep(READING_MS)
   const answer = await streamChat(callers, sample.callerKey, prompt)
   say(
     `router-${index + 1}: ${answer.status} from ${answer.target}, cache ${answer.cache}: ${answer.text}`,
