Ask an engine itself whether it is drained

Cause: a router polls the load of its own groups alone, so the holder of the order lease waited for ever for the report of another router's target; a target that no VM list names was taken for vanished once its drain was over. Change: the holder reads the load with the state; a target that was heard leaving stays in the view and is live again.

--- a/packages/core/src/node/membership/__tests__/membership.test.ts
+++ b/packages/core/src/node/membership/__tests__/membership.test.ts
@@ -57,6 +57,13 @@
     assert.equal(FLAP_HOLD_MS, 3_000)
   })
 
+  it('shows a target that no list names live again after it drained', () => {
+    const view = hearLeaving(createVmView(), { x: 0 }, 0)
+    assert.equal(stateOf(view, 'x', LEAVING_TTL_MS), MemberState.Leaving)
+    const later = hearLeaving(view, {}, LEAVING_TTL_MS + 1)
+    assert.equal(stateOf(later, 'x', LEAVING_TTL_MS + 1), MemberState.Live)
+  })
+
   it('does not let a departure circulate between routers for ever', () => {
     let left = applyVmList(createVmView(), six, 0)
     let right = hearLeaving(left, { a: 0 }, 0)
--- a/packages/core/src/node/membership/constants.ts
+++ b/packages/core/src/node/membership/constants.ts
@@ -14,3 +14,5 @@
 export const PAUSE_MS = 1_000
 /** Milliseconds for which a router announces a departure that it saw. */
 export const LEAVING_ANNOUNCE_MS = 60_000
+/** Departures heard from peers that a view remembers at most. */
+export const HEARD_MAX_IDS = 4_096
--- a/packages/core/src/node/membership/vmView.ts
+++ b/packages/core/src/node/membership/vmView.ts
@@ -3,6 +3,7 @@
   FLAP_HOLD_MS,
   FLAP_MAX_HOLD_MS,
   FLAP_MEMORY_MS,
+  HEARD_MAX_IDS,
   LEAVING_ANNOUNCE_MS,
   LEAVING_MAX_IDS,
   LEAVING_TTL_MS,
@@ -140,12 +141,16 @@
   ages: Readonly<Record<string, number>>,
   nowMs: number,
 ): VmView {
-  const heardLeaving = new Map<string, number>()
-  for (const [id, atMs] of view.heardLeaving)
-    if (nowMs - atMs <= LEAVING_TTL_MS) heardLeaving.set(id, atMs)
+  const heardLeaving = new Map(view.heardLeaving)
   for (const [id, ageMs] of Object.entries(ages)) {
     if (ageMs > LEAVING_TTL_MS) continue
-    heardLeaving.set(id, Math.max(heardLeaving.get(id) ?? 0, nowMs - ageMs))
+    const knownMs = heardLeaving.get(id) ?? -Infinity
+    heardLeaving.delete(id)
+    heardLeaving.set(id, Math.max(knownMs, nowMs - ageMs))
+  }
+  for (const id of heardLeaving.keys()) {
+    if (heardLeaving.size <= HEARD_MAX_IDS) break
+    heardLeaving.delete(id)
   }
   return { ...view, heardLeaving }
 }
@@ -179,9 +184,12 @@
   }
   const state = MemberState.Leaving
   for (const vm of view.departed.values()) vms.push({ ...vm, state })
-  const unlisted = { role: VmRole.Target, address: '', dataCentre: '', state }
+  // Once shown, a target that no list names stays and is live again.
+  const unlisted = { role: VmRole.Target, address: '', dataCentre: '' }
   for (const id of view.heardLeaving.keys())
-    if (isHeard(id) && !view.listed.has(id) && !view.departed.has(id))
-      vms.push({ id, ...unlisted })
+    if (!view.listed.has(id) && !view.departed.has(id)) {
+      const heard = isHeard(id) ? MemberState.Leaving : MemberState.Live
+      vms.push({ id, ...unlisted, state: heard })
+    }
   return vms
 }
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -1,7 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import { performance } from 'node:perf_hooks'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { ORDER_LEASE } from '@auburnbay/core'
 import type { ListenAddress } from '@auburnbay/http-utils'
 import { createAdminServer } from './admin/createAdminServer.js'
 import type { Admission } from './admission/admission.js'
@@ -21,8 +20,7 @@
 import { createMembership } from './membership/createMembership.js'
 import { createVmListPoller } from './membership/createVmListPoller.js'
 import { createMetrics } from './metrics/createMetrics.js'
-import { createLeaseKeeper } from './orders/createLeaseKeeper.js'
-import { createOrderTask } from './orders/createOrderTask.js'
+import { createOrders } from './orders/createOrders.js'
 import { createPeerClient } from './peers/createPeerClient.js'
 import { createPeerServer } from './peers/createPeerServer.js'
 import type { Heartbeat } from './peers/heartbeat.js'
@@ -145,32 +143,19 @@
     settings,
     client: peerClient,
     vms,
-    hearLeaving: (ages) => {
-      vmList.hearLeaving(ages)
-    },
+    hearLeaving: vmList.hearLeaving,
     logger: logs.part('membership'),
     self,
     now,
   })
-  const orders = createOrderTask({
-    router: settings.router.id,
-    configuration,
+  const orders = createOrders({
+    settings,
+    incarnation,
+    log,
+    tailer,
+    vmList,
     peers: () => membership.livePeers(),
     ownInFlight: () => routing.ownInFlight(),
-    reporter,
-    lease: createLeaseKeeper({
-      log,
-      name: ORDER_LEASE,
-      holder: `${settings.router.id}/${incarnation}`,
-      ttlMs: settings.orders.leaseMs,
-      now,
-      nowEpochMs: Date.now,
-    }),
-    announce: (targets) => {
-      vmList.hearLeaving(Object.fromEntries(targets.map((id) => [id, 0])))
-    },
-    readsLog: () => tailer.connected,
-    loadsPerMinute: settings.orders.weightLoadsPerMinute,
     now,
     logger: logs.part('orders'),
   })
--- a/packages/daemon/src/node/membership/createVmListPoller.ts
+++ b/packages/daemon/src/node/membership/createVmListPoller.ts
@@ -20,7 +20,7 @@
   /** Age in milliseconds of each departure that this router knows of. */
   leaving(): Record<string, number>
   /** Takes in the departures that a peer knows of. */
-  hearLeaving(ages: Readonly<Record<string, number>>): void
+  readonly hearLeaving: (ages: Readonly<Record<string, number>>) => void
   stop(): Promise<void>
 }
 
--- a/packages/daemon/src/node/orders/createOrderTask.ts
+++ b/packages/daemon/src/node/orders/createOrderTask.ts
@@ -17,11 +17,14 @@
 } from '@auburnbay/core'
 import type { ConsolaInstance } from 'consola'
 import type { PeerStatus } from '../membership/createMembership.js'
-import type { LoadReporter } from '../targets/createLoadReporter.js'
 import { createLoop, type Loop } from '../tasks/createLoop.js'
 import { ORDER_ROUND_MS, ORDERS_AT_ONCE } from './constants.js'
 import type { LeaseKeeper } from './createLeaseKeeper.js'
-import { readEngineState, sendEngineState } from './engineClient.js'
+import {
+  readEngineLoad,
+  readEngineState,
+  sendEngineState,
+} from './engineClient.js'
 
 /** What sending orders works with. */
 export interface OrderTaskOptions {
@@ -29,7 +32,6 @@
   readonly configuration: () => Configuration
   readonly peers: () => readonly PeerStatus[]
   readonly ownInFlight: () => Readonly<Record<string, number>>
-  readonly reporter: Pick<LoadReporter, 'report'>
   readonly lease: LeaseKeeper
   /** Tells all routers that targets get no new work. */
   readonly announce: (targets: readonly string[]) => void
@@ -73,12 +75,17 @@
     return [own, ...others]
   }
 
-  function evidence(target: string): DrainEvidence {
-    return {
-      sinceMs: drainingSince.get(target),
-      routers: sightings(target),
-      target: options.reporter.report(target),
-    }
+  // A router need not poll the load of every target, but the holder must know.
+  async function evidence(
+    target: string,
+    address: string,
+  ): Promise<DrainEvidence> {
+    const sinceMs = drainingSince.get(target)
+    if (sinceMs === undefined) return { routers: [] }
+    const atMs = now()
+    const inFlight = await readEngineLoad(address)
+    const report = inFlight === undefined ? undefined : { inFlight, atMs }
+    return { sinceMs, routers: sightings(target), target: report }
   }
 
   function hasStrayed(
@@ -98,7 +105,7 @@
       const { address, desired, service } = target
       if (!desired) return undefined
       const observed = await readEngineState(address)
-      const drain = evidence(id)
+      const drain = await evidence(id, address)
       const returns = returnsAtMs.get(id)
       const strayed = hasStrayed(id, desired, observed)
       const place = { id, service, drain, returnsAtMs: returns }
