--- a/packages/core/src/node/configuration/digestPeers.ts
+++ b/packages/core/src/node/configuration/digestPeers.ts
@@ -31,17 +31,6 @@
   return [...parents]
 }
 
-/** Part of the interval within which a peer's own call makes ours needless. */
-const HEARD_SHARE = 0.8
-
-/** Decides whether a peer is called, or has itself just exchanged heartbeats. */
-export function isHeartbeatDue(
-  ageMs: number | undefined,
-  heartbeatMs: number,
-): boolean {
-  return ageMs === undefined || ageMs >= heartbeatMs * HEARD_SHARE
-}
-
 function remotePeers(
   self: RouterPlace,
   others: readonly RouterPlace[],
--- a/packages/daemon/src/node/settings/settingsSchema.ts
+++ b/packages/daemon/src/node/settings/settingsSchema.ts
@@ -151,10 +151,25 @@
     .prefault({}),
   peers: z
     .strictObject({
-      /** @default 500 */
-      heartbeatMs: positiveMs.default(500),
-      /** Milliseconds without a heartbeat until a peer counts as gone. @default 2000 */
-      timeoutMs: positiveMs.default(2_000),
+      /** @default 2000 */
+      heartbeatMs: positiveMs.default(2_000),
+      /** Milliseconds without a heartbeat until a peer counts as gone. @default 5000 */
+      timeoutMs: positiveMs.default(5_000),
+    })
+    .prefault({}),
+  claims: z
+    .strictObject({
+      /** Milliseconds between two appends of claims. @default 50 */
+      batchMs: positiveMs.default(50),
+      /** Milliseconds until a claim that the log has not decided is refused. @default 1500 */
+      decideTimeoutMs: positiveMs.default(1_500),
+      /** Claims that a router remembers; older keys are refused. @default 200000 */
+      maxClaims: z.int().positive().default(200_000),
+      /**
+       * Accepts idempotency keys without a time of their own; such a key runs
+       * at most once only while the log holds its claim. @default false
+       */
+      acceptUndatedKeys: z.boolean().default(false),
     })
     .prefault({}),
   stopping: z
