--- a/packages/core/src/node/configuration/digestPeers.ts
+++ b/packages/core/src/node/configuration/digestPeers.ts
@@ -1,4 +1,9 @@
-import { DIGEST_FANOUT, FULL_MESH_ROUTERS } from '../constants.js'
+import {
+  DIGEST_FANOUT,
+  FULL_MESH_ROUTERS,
+  TAILERS_PER_DATA_CENTRE,
+} from '../constants.js'
+import { hash32 } from '../hash/hash32.js'
 import { rendezvousOrder } from '../routing/rendezvousOrder.js'
 import { type RouterPlace, tailerOrder } from './tailers.js'
 
@@ -39,7 +44,9 @@
   }
   const places = [...far.keys()].map((id) => ({ id, weight: 1 }))
   const nearest = rendezvousOrder(`far\n${self.id}`, places).slice(0, 2)
+  // Callers are spread over the readers of the log there.
+  const rank = hash32(self.id) % TAILERS_PER_DATA_CENTRE
   return nearest.flatMap(({ id }) =>
-    tailerOrder(id, far.get(id) ?? []).slice(0, 1),
+    tailerOrder(id, far.get(id) ?? []).slice(rank, rank + 1),
   )
 }
--- a/packages/core/src/node/membership/vmView.ts
+++ b/packages/core/src/node/membership/vmView.ts
@@ -3,6 +3,8 @@
   FLAP_HOLD_MS,
   FLAP_MAX_HOLD_MS,
   FLAP_MEMORY_MS,
+  HEARD_MAX_IDS,
+  LEAVING_ANNOUNCE_MS,
   LEAVING_MAX_IDS,
   LEAVING_TTL_MS,
 } from './constants.js'
@@ -24,6 +26,8 @@
   /** VMs kept although the list misses them, as too many vanished at once. */
   readonly held: readonly string[]
   readonly flaps: ReadonlyMap<string, Flaps>
+  /** When this router first saw a VM leave, by id. */
+  readonly leftAtMs: ReadonlyMap<string, number>
   /** When some router saw a VM leave, by id; milliseconds of the own clock. */
   readonly heardLeaving: ReadonlyMap<string, number>
 }
@@ -35,6 +39,7 @@
     departed: new Map(),
     held: [],
     flaps: new Map(),
+    leftAtMs: new Map(),
     heardLeaving: new Map(),
   }
 }
@@ -96,6 +101,20 @@
   return departed
 }
 
+function findLeft(
+  view: VmView,
+  next: ReadonlyMap<string, VmEntry>,
+  departed: ReadonlyMap<string, VmEntry>,
+  nowMs: number,
+): Map<string, number> {
+  const left = new Map<string, number>()
+  for (const [id, vm] of next)
+    if (vm.state === MemberState.Leaving)
+      left.set(id, view.leftAtMs.get(id) ?? nowMs)
+  for (const id of departed.keys()) left.set(id, view.leftAtMs.get(id) ?? nowMs)
+  return left
+}
+
 /** Takes in a list; VMs of a role of which over half vanish at once are held. */
 export function applyVmList(
   view: VmView,
@@ -105,10 +124,12 @@
   const next = byId(list)
   const held = findHeld(view, next)
   for (const vm of held) next.set(vm.id, vm)
+  const departed = findDeparted(view, next)
   return {
     ...view,
     listed: next,
-    departed: findDeparted(view, next),
+    departed,
+    leftAtMs: findLeft(view, next, departed, nowMs),
     held: held.map(({ id }) => id),
     flaps: countFlaps(view, next, nowMs),
   }
@@ -120,12 +141,16 @@
   ages: Readonly<Record<string, number>>,
   nowMs: number,
 ): VmView {
-  const heardLeaving = new Map<string, number>()
-  for (const [id, atMs] of view.heardLeaving)
-    if (nowMs - atMs <= LEAVING_TTL_MS) heardLeaving.set(id, atMs)
+  const heardLeaving = new Map(view.heardLeaving)
   for (const [id, ageMs] of Object.entries(ages)) {
     if (ageMs > LEAVING_TTL_MS) continue
-    heardLeaving.set(id, Math.max(heardLeaving.get(id) ?? 0, nowMs - ageMs))
+    const knownMs = heardLeaving.get(id) ?? -Infinity
+    heardLeaving.delete(id)
+    heardLeaving.set(id, Math.max(knownMs, nowMs - ageMs))
+  }
+  for (const id of heardLeaving.keys()) {
+    if (heardLeaving.size <= HEARD_MAX_IDS) break
+    heardLeaving.delete(id)
   }
   return { ...view, heardLeaving }
 }
@@ -137,10 +162,10 @@
 ): Record<string, number> {
   const ages = new Map<string, number>()
   for (const [id, atMs] of view.heardLeaving)
-    if (nowMs - atMs <= LEAVING_TTL_MS) ages.set(id, nowMs - atMs)
-  for (const [id, vm] of view.listed)
-    if (vm.state === MemberState.Leaving) ages.set(id, 0)
-  for (const id of view.departed.keys()) ages.set(id, 0)
+    if (nowMs - atMs <= LEAVING_TTL_MS) ages.set(id, Math.ceil(nowMs - atMs))
+  // Later the lists of the others show it as well.
+  for (const [id, atMs] of view.leftAtMs)
+    if (nowMs - atMs <= LEAVING_ANNOUNCE_MS) ages.set(id, 0)
   const youngest = [...ages].sort((a, b) => a[1] - b[1])
   return Object.fromEntries(youngest.slice(0, LEAVING_MAX_IDS))
 }
@@ -159,9 +184,12 @@
   }
   const state = MemberState.Leaving
   for (const vm of view.departed.values()) vms.push({ ...vm, state })
-  const unlisted = { role: VmRole.Target, address: '', dataCentre: '', state }
+  // Once shown, a target that no list names stays and is live again.
+  const unlisted = { role: VmRole.Target, address: '', dataCentre: '' }
   for (const id of view.heardLeaving.keys())
-    if (isHeard(id) && !view.listed.has(id) && !view.departed.has(id))
-      vms.push({ id, ...unlisted })
+    if (!view.listed.has(id) && !view.departed.has(id)) {
+      const heard = isHeard(id) ? MemberState.Leaving : MemberState.Live
+      vms.push({ id, ...unlisted, state: heard })
+    }
   return vms
 }
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -20,6 +20,7 @@
 import { createMembership } from './membership/createMembership.js'
 import { createVmListPoller } from './membership/createVmListPoller.js'
 import { createMetrics } from './metrics/createMetrics.js'
+import { createOrders } from './orders/createOrders.js'
 import { createPeerClient } from './peers/createPeerClient.js'
 import { createPeerServer } from './peers/createPeerServer.js'
 import type { Heartbeat } from './peers/heartbeat.js'
@@ -132,13 +133,22 @@
     settings,
     client: peerClient,
     vms,
-    hearLeaving: (ages) => {
-      vmList.hearLeaving(ages)
-    },
+    hearLeaving: vmList.hearLeaving,
     logger: logs.part('membership'),
     self,
     now,
   })
+  const orders = createOrders({
+    settings,
+    incarnation,
+    log,
+    tailer,
+    vmList,
+    peers: () => membership.livePeers(),
+    ownInFlight: () => routing.ownInFlight(),
+    now,
+    logger: logs.part('orders'),
+  })
   const peerServer = await createPeerServer(settings, {
     onHeartbeat: (heartbeat) => {
       membership.heard(heartbeat)
@@ -213,6 +223,7 @@
       vmList.stop(),
       membership.stop(),
       admission.stop(),
+      orders.stop(),
       tailer.stop(),
       claims.stop(),
       peerServer.stop(),
--- a/packages/measure/src/node/measureGroups.ts
+++ b/packages/measure/src/node/measureGroups.ts
@@ -2,12 +2,14 @@
 import type { MeasureGroup } from './measureGroup.js'
 import { onceMeasures } from './once/onceMeasures.js'
 import { routingMeasures } from './routing/routingMeasures.js'
+import { stateMeasures } from './state/stateMeasures.js'
 import { stoppingMeasures } from './stopping/stoppingMeasures.js'
 
 /** Every group, in the order in which they run. */
 export const measureGroups: readonly MeasureGroup[] = [
   routingMeasures,
   limitsMeasures,
+  stateMeasures,
   stoppingMeasures,
   onceMeasures,
 ]
