--- a/packages/measure/src/node/state/measureConfigurationFaults.ts
+++ b/packages/measure/src/node/state/measureConfigurationFaults.ts
@@ -4,7 +4,7 @@
   moveSnapshot,
 } from '@auburnbay/core'
 import type { Figure } from '../figure.js'
-import { createRandom, type Random } from '../limits/createRandom.js'
+import { createRandom, type Random } from '../routing/bench/createRandom.js'
 import { FaultyLog } from './faultyLog.js'
 import { NaiveRouter, ScheduledRouter } from './scheduledRouter.js'
 
@@ -38,7 +38,7 @@
 }
 
 function pick<T>(random: Random, items: readonly T[]): T {
-  const item = items[Math.floor(random.uniform() * items.length)]
+  const item = items[Math.floor(random.unit() * items.length)]
   if (item === undefined) throw new Error('nothing to pick from')
   return item
 }
@@ -78,7 +78,7 @@
 }
 
 function replaceRouter(fleet: Fleet): void {
-  const index = Math.floor(fleet.random.uniform() * ROUTERS)
+  const index = Math.floor(fleet.random.unit() * ROUTERS)
   const leaver = fleet.routers[index]
   if (!leaver || leaver === newest(fleet)) return
   const joiner = new ScheduledRouter()
@@ -136,6 +136,15 @@
 ]
 const WEIGHTS = [0.25, 0.1, 0.2, 0.1, 0.1, 0.08, 0.06, 0.04, 0.04, 0.015, 0.015]
 
+function pickEvent(random: Random): number {
+  let left = random.unit()
+  for (const [index, weight] of WEIGHTS.entries()) {
+    left -= weight
+    if (left < 0) return index
+  }
+  return WEIGHTS.length - 1
+}
+
 function recordDigests(fleet: Fleet): void {
   for (const { state } of fleet.routers) {
     const seen = fleet.digests.get(state.version) ?? new Set()
@@ -156,7 +165,7 @@
     digests: new Map(),
   }
   for (let step = 0; step < STEPS; step += 1) {
-    EVENTS[random.pick(WEIGHTS)]?.(fleet)
+    EVENTS[pickEvent(random)]?.(fleet)
     recordDigests(fleet)
   }
   const differing = [...fleet.digests.values()].filter(({ size }) => size > 1)
--- a/packages/measure/src/node/state/measureLeaving.ts
+++ b/packages/measure/src/node/state/measureLeaving.ts
@@ -9,7 +9,7 @@
   VmRole,
 } from '@auburnbay/core'
 import type { Figure } from '../figure.js'
-import { createRandom } from '../limits/createRandom.js'
+import { createRandom } from '../routing/bench/createRandom.js'
 import { createPeerLists, createRouters } from './fleetOfRouters.js'
 
 /** Seconds after which a leaving target gets no new work. */
@@ -37,11 +37,11 @@
   const before = [target('a', MemberState.Live), target('b', MemberState.Live)]
   const after = [target('a', MemberState.Leaving), ...before.slice(1)]
   const views = peers.map(() => applyVmList(createVmView(), before, 0))
-  const polls = peers.map(() => random.uniform() * LIST_POLL_MS)
-  const beats = peers.map(() => random.uniform() * run.heartbeatMs)
+  const polls = peers.map(() => random.unit() * LIST_POLL_MS)
+  const beats = peers.map(() => random.unit() * run.heartbeatMs)
   // One list shows the departure at once, or nobody could know of it.
   const lags = peers.map((_, index) =>
-    index === 0 ? 0 : random.uniform() * LIST_MAX_LAG_MS,
+    index === 0 ? 0 : random.unit() * LIST_MAX_LAG_MS,
   )
   let lastMs = 0
   const isDue = (nowMs: number, phase: number, everyMs: number): boolean =>
--- a/packages/measure/src/node/state/measurePropagation.ts
+++ b/packages/measure/src/node/state/measurePropagation.ts
@@ -1,6 +1,6 @@
 import { shouldTail, tailerOrder } from '@auburnbay/core'
 import { BoundKind, type Figure } from '../figure.js'
-import { createRandom } from '../limits/createRandom.js'
+import { createRandom } from '../routing/bench/createRandom.js'
 import {
   countPartners,
   createPeerLists,
@@ -40,10 +40,10 @@
 ): number {
   const random = createRandom(seed)
   const inForceAt = new Array<number>(size.routers).fill(Infinity)
-  const phases = inForceAt.map(() => random.uniform() * size.heartbeatMs)
-  const dead = phases.map(() => random.uniform() < DEAD_ROUTERS)
+  const phases = inForceAt.map(() => random.unit() * size.heartbeatMs)
+  const dead = phases.map(() => random.unit() < DEAD_ROUTERS)
   for (const tailer of tailers)
-    if (!dead[tailer]) inForceAt[tailer] = LOG_READ_MS * (1 + random.uniform())
+    if (!dead[tailer]) inForceAt[tailer] = LOG_READ_MS * (1 + random.unit())
   for (let nowMs = 0; nowMs < HORIZON_MS; nowMs += TICK_MS) {
     const isDone = inForceAt.every(
       (at, index) => dead[index] === true || at <= nowMs,
@@ -53,7 +53,7 @@
       const sinceDue = (nowMs - phase + size.heartbeatMs) % size.heartbeatMs
       if (dead[index] || sinceDue >= TICK_MS) continue
       for (const peer of peers[index] ?? []) {
-        if (dead[peer] || random.uniform() < LOST_HEARTBEATS) continue
+        if (dead[peer] || random.unit() < LOST_HEARTBEATS) continue
         exchange(inForceAt, index, peer, nowMs)
       }
     }
