--- a/packages/daemon/src/node/peers/peerApi.ts
+++ b/packages/daemon/src/node/peers/peerApi.ts
@@ -1,9 +1,4 @@
 import { initTRPC, TRPCError } from '@trpc/server'
-import {
-  type ConfigurationSince,
-  configurationSinceSchema,
-  type ConfigurationTransfer,
-} from '../configuration/configurationTransfer.js'
 import type {
   CollectAsk,
   CollectReply,
@@ -11,7 +6,13 @@
   GrantReply,
 } from '@auburnbay/core'
 import { collectAskSchema, grantAskSchema } from './grantSchemas.js'
+import {
+  type ConfigurationSince,
+  configurationSinceSchema,
+  type ConfigurationTransfer,
+} from '../configuration/configurationTransfer.js'
 import { type Heartbeat, heartbeatSchema } from './heartbeat.js'
+import { wireCodec } from './wireCodec.js'
 
 /** What a call between routers knows of its sender. */
 export interface PeerContext {
@@ -21,20 +22,20 @@
 /** What a router does with the calls of its peers. */
 export interface PeerHandlers {
   onHeartbeat(heartbeat: Heartbeat): Heartbeat
-  /** Returns what a router that is behind needs; undefined without a log. */
-  onConfigurationSince(
-    since: ConfigurationSince,
-  ): ConfigurationTransfer | undefined
   /** Takes a request for places as the home of its group. */
   onGrant(ask: GrantAsk): GrantReply
   /** Tells a new home what is in flight from here. */
   onCollect(ask: CollectAsk): CollectReply
+  /** Returns what a router that is behind needs; undefined without a log. */
+  onConfigurationSince(
+    since: ConfigurationSince,
+  ): ConfigurationTransfer | undefined
 }
 
 /** Creates the procedures that routers offer each other. */
 
 export function createPeerApi(handlers: PeerHandlers) {
-  const t = initTRPC.context<PeerContext>().create()
+  const t = initTRPC.context<PeerContext>().create({ transformer: wireCodec })
   const procedure = t.procedure.use(({ ctx, next }) => {
     if (!ctx.authenticated) throw new TRPCError({ code: 'UNAUTHORIZED' })
     return next()
@@ -43,15 +44,15 @@
     heartbeat: procedure
       .input(heartbeatSchema)
       .mutation(({ input }) => handlers.onHeartbeat(input)),
-    configurationSince: procedure
-      .input(configurationSinceSchema)
-      .mutation(({ input }) => handlers.onConfigurationSince(input)),
     grant: procedure
       .input(grantAskSchema)
       .mutation(({ input }) => handlers.onGrant(input)),
     collect: procedure
       .input(collectAskSchema)
       .mutation(({ input }) => handlers.onCollect(input)),
+    configurationSince: procedure
+      .input(configurationSinceSchema)
+      .mutation(({ input }) => handlers.onConfigurationSince(input)),
   })
 }
 
