--- /dev/null
+++ b/packages/core/src/node/affinity/__tests__/createHintIndex.test.ts
@@ -0,0 +1,49 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import { type CacheEvent, CacheEventKind } from '../cacheEvent.js'
+import { createHintIndex } from '../createHintIndex.js'
+
+const stepArbitrary = fc.record({
+  target: fc.constantFrom('t1', 't2', 't3'),
+  kind: fc.constantFrom(CacheEventKind.Stored, CacheEventKind.Evicted),
+  chat: fc.constantFrom('a', 'b', 'c', 'd'),
+  lost: fc.boolean(),
+})
+
+/** Replays the events that arrived and forgets a target at each gap. */
+function createNaiveIndex() {
+  const targetOf = new Map<string, string>()
+  const next = new Map<string, number>()
+  return {
+    targetOf,
+    apply(target: string, { sequence, kind, chat }: CacheEvent): void {
+      if (sequence > (next.get(target) ?? 0))
+        for (const [held, id] of [...targetOf])
+          if (id === target) targetOf.delete(held)
+      next.set(target, sequence + 1)
+      if (kind === CacheEventKind.Stored) targetOf.set(chat, target)
+      else if (targetOf.get(chat) === target) targetOf.delete(chat)
+    },
+  }
+}
+
+describe('the hint index', () => {
+  it('agrees with a naive replay over late events with gaps', () => {
+    const property = fc.property(fc.array(stepArbitrary), (steps) => {
+      const index = createHintIndex(100)
+      const naive = createNaiveIndex()
+      const sequences = new Map<string, number>()
+      for (const { target, kind, chat, lost } of steps) {
+        const sequence = sequences.get(target) ?? 0
+        sequences.set(target, sequence + 1)
+        if (lost) continue
+        index.apply(target, [{ sequence, kind, chat }])
+        naive.apply(target, { sequence, kind, chat })
+      }
+      for (const chat of ['a', 'b', 'c', 'd'])
+        assert.equal(index.targetOf(chat), naive.targetOf.get(chat))
+    })
+    fc.assert(property, { seed: 13, numRuns: 500 })
+  })
+})
--- a/packages/daemon/src/node/admission/__tests__/createServiceQueue.test.ts
+++ b/packages/daemon/src/node/admission/__tests__/createServiceQueue.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { setImmediate as turn } from 'node:timers/promises'
+import { DeadlinePassed } from '../../callers/deadlinePassed.js'
 import { resolveSettings } from '../../settings/resolveSettings.js'
 import { createServiceQueue, type Release } from '../createServiceQueue.js'
 
@@ -8,6 +9,7 @@
 const RESERVED = 2
 const MAX_WAITING = 3
 const LATER_MS = 1_000_000
+const SOON_MS = 20
 
 function queueSettings() {
   const listen = { host: '127.0.0.1', port: 0 }
@@ -30,7 +32,7 @@
   const failures: string[] = []
   const gone = new AbortController()
   let next = 0
-  const enter = async (rank: number) => {
+  const enter = async (rank: number, deadlineAtMs = LATER_MS) => {
     next += 1
     const request = {
       id: String(next),
@@ -38,7 +40,7 @@
       customer: 'corrib',
       weight: 1,
       enqueuedAtMs: 0,
-      deadlineAtMs: LATER_MS,
+      deadlineAtMs,
     }
     const entered = await queue.enter(request, gone.signal)
     if (entered.isOk()) releases.push(entered.value)
@@ -52,7 +54,7 @@
     releases.pop()?.()
     await turn()
   }
-  return { queue, failures, gone, enterMany, release }
+  return { queue, failures, gone, enter, enterMany, release }
 }
 
 describe('createServiceQueue', () => {
@@ -108,4 +110,27 @@
     gone.abort()
     await turn()
   })
+
+  it('tells a passed deadline from a caller that went away', async () => {
+    for (const [reason, expected] of [
+      [new DeadlinePassed(), 'expired'],
+      [undefined, 'caller-gone'],
+    ] as const) {
+      const { failures, gone, enterMany } = setUp()
+      await enterMany(5, PLACES - RESERVED + 1)
+      gone.abort(reason)
+      await turn()
+      assert.deepEqual(failures, [expected])
+    }
+  })
+
+  it('gives up a request whose longest wait is over', async () => {
+    const { queue, failures, gone, enter, enterMany } = setUp()
+    await enterMany(5, PLACES - RESERVED + 1)
+    await enter(5, SOON_MS)
+    assert.deepEqual(failures, ['expired'])
+    assert.equal(queue.waiting, 1)
+    gone.abort()
+    await turn()
+  })
 })
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -154,9 +154,9 @@
       membership.heard(heartbeat)
       return self()
     },
+    onConfigurationSince: (since) => tailer.transfer(since),
     onGrant: (ask) => routing.onGrant(ask),
     onCollect: (ask) => routing.onCollect(ask),
-    onConfigurationSince: (since) => tailer.transfer(since),
   })
 
   const targets = createWatchedTargets(
--- a/packages/daemon/src/node/peers/peerApi.ts
+++ b/packages/daemon/src/node/peers/peerApi.ts
@@ -1,4 +1,9 @@
 import { initTRPC, TRPCError } from '@trpc/server'
+import {
+  type ConfigurationSince,
+  configurationSinceSchema,
+  type ConfigurationTransfer,
+} from '../configuration/configurationTransfer.js'
 import type {
   CollectAsk,
   CollectReply,
@@ -6,11 +11,6 @@
   GrantReply,
 } from '@auburnbay/core'
 import { collectAskSchema, grantAskSchema } from './grantSchemas.js'
-import {
-  type ConfigurationSince,
-  configurationSinceSchema,
-  type ConfigurationTransfer,
-} from '../configuration/configurationTransfer.js'
 import { type Heartbeat, heartbeatSchema } from './heartbeat.js'
 import { wireCodec } from './wireCodec.js'
 
@@ -22,14 +22,14 @@
 /** What a router does with the calls of its peers. */
 export interface PeerHandlers {
   onHeartbeat(heartbeat: Heartbeat): Heartbeat
-  /** Takes a request for places as the home of its group. */
-  onGrant(ask: GrantAsk): GrantReply
-  /** Tells a new home what is in flight from here. */
-  onCollect(ask: CollectAsk): CollectReply
   /** Returns what a router that is behind needs; undefined without a log. */
   onConfigurationSince(
     since: ConfigurationSince,
   ): ConfigurationTransfer | undefined
+  /** Takes a request for places as the home of its group. */
+  onGrant(ask: GrantAsk): GrantReply
+  /** Tells a new home what is in flight from here. */
+  onCollect(ask: CollectAsk): CollectReply
 }
 
 /** Creates the procedures that routers offer each other. */
@@ -44,15 +44,15 @@
     heartbeat: procedure
       .input(heartbeatSchema)
       .mutation(({ input }) => handlers.onHeartbeat(input)),
+    configurationSince: procedure
+      .input(configurationSinceSchema)
+      .mutation(({ input }) => handlers.onConfigurationSince(input)),
     grant: procedure
       .input(grantAskSchema)
       .mutation(({ input }) => handlers.onGrant(input)),
     collect: procedure
       .input(collectAskSchema)
       .mutation(({ input }) => handlers.onCollect(input)),
-    configurationSince: procedure
-      .input(configurationSinceSchema)
-      .mutation(({ input }) => handlers.onConfigurationSince(input)),
   })
 }
 
