--- a/packages/stand-ins/src/node/engine/createEngine.ts
+++ b/packages/stand-ins/src/node/engine/createEngine.ts
@@ -10,6 +10,7 @@
 } from '../constants.js'
 import { createStandIn, type StandInRequest } from '../server/createStandIn.js'
 import type { StandIn } from '../server/standIn.js'
+import { type CacheEvents, createCacheEvents } from './cacheEvents.js'
 import { createEngineFaults, type EngineFaults } from './engineFaults.js'
 import type { EngineRun } from './engineRun.js'
 import { generate } from './generate.js'
@@ -28,6 +29,7 @@
 /** A model engine's stand-in. */
 export interface EngineStandIn extends StandIn {
   readonly faults: EngineFaults
+  readonly cacheEvents: CacheEvents
   /** Switches on top of `faults` for the next requests, one entry each. */
   readonly script: Partial<EngineFaults>[]
   /** What truly ran, in order. */
@@ -69,7 +71,13 @@
   const runs: EngineRun[] = []
   const kept = new LRUCache<string, EngineRun>({ max: DEFAULT_KEPT_RUNS })
   const progressOf = new WeakMap<EngineRun, EventEmitter>()
-  const cache = new LRUCache<string, true>({ max: resolved.cacheChats })
+  const cacheEvents = createCacheEvents(() => performance.now())
+  const cache = new LRUCache<string, true>({
+    max: resolved.cacheChats,
+    dispose: (_, chat, reason) => {
+      if (reason === 'evict') cacheEvents.add('evicted', chat)
+    },
+  })
   let inFlight = 0
 
   function startRun(call: StandInRequest): EngineRun {
@@ -86,7 +94,10 @@
       finished: false,
       cancelled: false,
     }
-    if (chat !== '') cache.set(chat, true)
+    if (chat !== '') {
+      cache.set(chat, true)
+      cacheEvents.add('stored', chat)
+    }
     runs.push(run)
     kept.set(run.runId, run)
     const progress = new EventEmitter()
@@ -202,6 +213,10 @@
       Object.assign(faults, call.body)
       sendJson(res, 200, faults)
     } else if (url.pathname === '/load') sendJson(res, 200, { inFlight })
+    else if (url.pathname === '/cache-events')
+      sendJson(res, 200, {
+        events: cacheEvents.from(Number(url.searchParams.get('from'))),
+      })
     else if (url.pathname === '/runs') sendJson(res, 200, runs)
     else if (runOfStream !== undefined)
       await resume(call, runOfStream, switches)
@@ -224,5 +239,5 @@
     if (switches.resetBefore) req.socket.destroy()
     return !switches.resetBefore
   })
-  return { ...standIn, faults, script, runs, options: resolved }
+  return { ...standIn, faults, script, cacheEvents, runs, options: resolved }
 }
