--- a/packages/daemon/src/node/peers/createPeerClient.ts
+++ b/packages/daemon/src/node/peers/createPeerClient.ts
@@ -25,15 +25,15 @@
   readonly traffic: TrafficCount
   /** Sends a heartbeat; rejects when the peer does not answer in time. */
   heartbeat(address: string, heartbeat: Heartbeat): Promise<Heartbeat>
-  /** Asks a group's home for places; rejects when it does not answer. */
-  grant(address: string, ask: GrantAsk): Promise<GrantReply>
-  /** Asks for a router's counts; rejects when it does not answer. */
-  collect(address: string, ask: CollectAsk): Promise<CollectReply>
   /** Fetches records or a snapshot; rejects when the peer has none. */
   configurationSince(
     address: string,
     since: ConfigurationSince,
   ): Promise<ConfigurationTransfer>
+  /** Asks a group's home for places; rejects when it does not answer. */
+  grant(address: string, ask: GrantAsk): Promise<GrantReply>
+  /** Asks for a router's counts; rejects when it does not answer. */
+  collect(address: string, ask: CollectAsk): Promise<CollectReply>
   close(): void
 }
 
@@ -66,8 +66,6 @@
     traffic,
     heartbeat: (address, heartbeat) =>
       clientOf(address).heartbeat.mutate(heartbeat, limited()),
-    grant: (address, ask) => clientOf(address).grant.mutate(ask, limited()),
-    collect: (address, ask) => clientOf(address).collect.mutate(ask, limited()),
     configurationSince: async (address, since) => {
       const signal = AbortSignal.timeout(PEER_FETCH_TIMEOUT_MS)
       const answer = await clientOf(address).configurationSince.mutate(since, {
@@ -75,6 +73,8 @@
       })
       return configurationTransferSchema.parse(answer)
     },
+    grant: (address, ask) => clientOf(address).grant.mutate(ask, limited()),
+    collect: (address, ask) => clientOf(address).collect.mutate(ask, limited()),
     close: () => {
       agent.destroy()
     },
--- /dev/null
+++ b/packages/daemon/src/node/routing/__tests__/grants.test.ts
@@ -0,0 +1,196 @@
+import assert from 'node:assert/strict'
+import { afterEach, describe, it } from 'node:test'
+import { HINT_HEADER, signHint, TARGET_HEADER } from '@auburnbay/core'
+import { callApi, callChat } from '../../__tests__/callApi.js'
+import {
+  eventually,
+  type Fleet,
+  type FleetOptions,
+  startFleet,
+  TEST_ADMIN_TOKEN,
+} from '../../__tests__/startFleet.js'
+
+const HINT_SECRET = 'test-hint-secret-0123456789'
+const MAX_LOAD_FACTOR = 1.25
+
+let fleet: Fleet | undefined
+
+async function start(options: FleetOptions): Promise<Fleet> {
+  const started = await startFleet(options)
+  fleet = started
+  await eventually(async () => (await homeOf(started)) !== undefined)
+  return started
+}
+
+afterEach(async () => {
+  await fleet?.stop()
+  fleet = undefined
+})
+
+/** Index of the router that is home of the engines, once all routers agree. */
+async function homeOf(running: Fleet): Promise<number | undefined> {
+  const homes = new Set<string>()
+  for (const index of running.routers.keys()) {
+    const answer = await callApi({
+      url: `${running.adminUrl(index)}/explain?service=briefing&chat=c`,
+      headers: { authorization: `Bearer ${TEST_ADMIN_TOKEN}` },
+    })
+    homes.add((JSON.parse(answer.text) as { home?: string }).home ?? '')
+    const peers = await callApi({
+      url: `${running.adminUrl(index)}/routers`,
+      headers: { authorization: `Bearer ${TEST_ADMIN_TOKEN}` },
+    })
+    for (const id of running.routers.keys())
+      if (!peers.text.includes(`router-${id + 1}`)) return undefined
+  }
+  const [home] = homes
+  return homes.size === 1 && home ? Number(home.split('-')[1]) - 1 : undefined
+}
+
+/** Sends `count` chats at once through all routers and checks each answer. */
+async function burst(
+  running: Fleet,
+  count: number,
+  through: readonly number[],
+) {
+  const calls = Array.from({ length: count }, (_, index) => {
+    const url = running.callerUrl(through[index % through.length])
+    return callChat(url, running.callerKey, `burst-${index}`)
+  })
+  for (const answer of await Promise.all(calls)) {
+    assert.equal(answer.status, 200, answer.text)
+    assert.ok(answer.whole)
+  }
+}
+
+/** Highest number of runs that each engine had in flight at the same time. */
+function watchLoads(running: Fleet) {
+  let worst = -Infinity
+  const timer = setInterval(() => {
+    const loads = running.engines.map(
+      ({ runs }) => runs.filter(({ finished }) => !finished).length,
+    )
+    const total = loads.reduce((sum, load) => sum + load, 0)
+    const bound = (MAX_LOAD_FACTOR * total) / loads.length + 1
+    worst = Math.max(worst, Math.max(...loads) - bound)
+  }, 1)
+  return () => {
+    clearInterval(timer)
+    return worst
+  }
+}
+
+describe('grants of the home', () => {
+  it('keep the engines within the bound while all routers place', async () => {
+    const running = await start({
+      routers: 3,
+      engines: 4,
+      engine: { wordDelayMs: 20 },
+    })
+    const loads = watchLoads(running)
+    await burst(running, 40, [0, 1, 2])
+    const runs = running.engines.map((engine) => engine.runs.length)
+    assert.equal(
+      runs.reduce((sum, count) => sum + count, 0),
+      40,
+    )
+    // Requests end one by one while the engines are watched, hence one more.
+    assert.ok(loads() <= 1, `over by ${loads()}`)
+  })
+
+  it('fall back to shares when the home has stopped', async () => {
+    const running = await start({
+      routers: 3,
+      engines: 4,
+      engine: { wordDelayMs: 10 },
+    })
+    const home = (await homeOf(running)) ?? 0
+    const others = [0, 1, 2].filter((index) => index !== home)
+    const during = burst(running, 24, others)
+    await running.routers[home]?.stop()
+    await during
+    await burst(running, 24, others)
+  })
+
+  it('place at once when no home answers within the limit', async () => {
+    const running = await start({
+      routers: 2,
+      engines: 3,
+      settings: { routing: { homeLimitMs: 1 }, peers: { heartbeatMs: 50 } },
+    })
+    await burst(running, 30, [0, 1])
+  })
+
+  it('survive routers that hold different lists of VMs', async () => {
+    const running = await start({ routers: 3, engines: 4 })
+    running.vmList.vms = running.vmList.vms.slice(0, 2)
+    await burst(running, 24, [0, 1, 2])
+    running.vmList.vms = []
+    await burst(running, 24, [0, 1, 2])
+  })
+})
+
+describe('the affinity hint', () => {
+  async function served(running: Fleet, chat: string, hint?: string) {
+    const headers = hint === undefined ? undefined : { [HINT_HEADER]: hint }
+    const answer = await callChat(
+      running.callerUrl(0),
+      running.callerKey,
+      chat,
+      headers,
+    )
+    assert.equal(answer.status, 200, answer.text)
+    return {
+      target: String(answer.headers[TARGET_HEADER]),
+      hint: String(answer.headers[HINT_HEADER]),
+    }
+  }
+
+  const owner = { customer: 'corrib', service: 'briefing', chat: 'voyage' }
+  const others = ['engine-1', 'engine-2', 'engine-3']
+
+  it('leads a chat to the target it names', async () => {
+    const running = await start({ engines: 3 })
+    const first = await served(running, 'voyage')
+    for (const target of others) {
+      const hint = signHint(HINT_SECRET, owner, target)
+      assert.equal((await served(running, 'voyage', hint)).target, target)
+    }
+    const again = await served(running, 'voyage', first.hint)
+    assert.equal(again.target, first.target)
+  })
+
+  it('is ignored when it is forged or of another customer or chat', async () => {
+    const running = await start({ engines: 3 })
+    const { target } = await served(running, 'voyage')
+    const other = others.find((id) => id !== target) ?? ''
+    const wrong = [
+      signHint('another-secret-0123456789', owner, other),
+      signHint(HINT_SECRET, { ...owner, customer: 'rival' }, other),
+      signHint(HINT_SECRET, { ...owner, chat: 'other' }, other),
+      'nonsense',
+    ]
+    for (const hint of wrong)
+      assert.equal((await served(running, 'voyage', hint)).target, target)
+  })
+
+  it('never leads to a target that is leaving', async () => {
+    const running = await start({ engines: 3 })
+    const { target, hint } = await served(running, 'voyage')
+    running.vmList.vms = [
+      ...running.vmList.vms,
+      {
+        id: target,
+        role: 'target',
+        address: '127.0.0.1:1',
+        dataCentre: 'dc-1',
+        state: 'leaving',
+      },
+    ]
+    await eventually(
+      async () => (await served(running, 'voyage', hint)).target !== target,
+    )
+    for (let tries = 0; tries < 5; tries += 1)
+      assert.notEqual((await served(running, 'voyage', hint)).target, target)
+  })
+})
--- a/packages/stand-ins/src/node/engine/createEngine.ts
+++ b/packages/stand-ins/src/node/engine/createEngine.ts
@@ -9,41 +9,14 @@
   DEFAULT_KEPT_RUNS,
 } from '../constants.js'
 import { createStandIn, type StandInRequest } from '../server/createStandIn.js'
-import type { StandIn } from '../server/standIn.js'
+import { createCacheEvents } from './cacheEvents.js'
 import { createEngineFaults, type EngineFaults } from './engineFaults.js'
 import { type EngineRun, foreignRun } from './engineRun.js'
-import {
-  createEngineOrders,
-  type EngineOrderOptions,
-  type EngineOrders,
-  ORDER_PATH,
-} from './orders.js'
+import type { EngineOptions, EngineStandIn } from './engineStandIn.js'
+import { createEngineOrders, ORDER_PATH } from './orders.js'
 import { generate } from './generate.js'
 import { writeStream } from './writeStream.js'
 
-/** How an engine's stand-in behaves. */
-export interface EngineOptions {
-  /** Chats the prompt cache holds. @default 64 */
-  readonly cacheChats?: number
-  /** Milliseconds between two words. @default 0 */
-  readonly wordDelayMs?: number
-  /** Words of an answer. @default 12 */
-  readonly words?: number
-  /** How it takes orders. */
-  readonly orders?: EngineOrderOptions
-}
-
-/** A model engine's stand-in. */
-export interface EngineStandIn extends StandIn {
-  readonly faults: EngineFaults
-  /** Switches on top of `faults` for the next requests, one entry each. */
-  readonly script: Partial<EngineFaults>[]
-  /** What truly ran, in order. */
-  readonly runs: readonly EngineRun[]
-  readonly options: Required<Omit<EngineOptions, 'orders'>>
-  readonly orders: EngineOrders
-}
-
 interface ChatBody {
   readonly stream?: boolean
   readonly messages?: { readonly content: string }[]
@@ -71,6 +44,7 @@
     cacheChats: options.cacheChats ?? DEFAULT_CACHE_CHATS,
     wordDelayMs: options.wordDelayMs ?? 0,
     words: options.words ?? DEFAULT_ENGINE_WORDS,
+    publishes: options.publishes ?? false,
   }
   const orders = createEngineOrders(options.orders)
   const faults = createEngineFaults()
@@ -79,7 +53,13 @@
   const runs: EngineRun[] = []
   const kept = new LRUCache<string, EngineRun>({ max: DEFAULT_KEPT_RUNS })
   const progressOf = new WeakMap<EngineRun, EventEmitter>()
-  const cache = new LRUCache<string, true>({ max: resolved.cacheChats })
+  const cacheEvents = createCacheEvents(() => performance.now())
+  const cache = new LRUCache<string, true>({
+    max: resolved.cacheChats,
+    dispose: (_, chat, reason) => {
+      if (reason === 'evict') cacheEvents.add('evicted', chat)
+    },
+  })
   let inFlight = 0
 
   function startRun(call: StandInRequest): EngineRun {
@@ -96,7 +76,10 @@
       finished: false,
       cancelled: false,
     }
-    if (chat !== '') cache.set(chat, true)
+    if (chat !== '') {
+      cache.set(chat, true)
+      cacheEvents.add('stored', chat)
+    }
     runs.push(run)
     kept.set(run.runId, run)
     const progress = new EventEmitter()
@@ -212,6 +195,10 @@
       sendJson(res, 200, faults)
     } else if (url.pathname === '/load') sendJson(res, 200, { inFlight })
     else if (url.pathname === ORDER_PATH) await orders.handle(call, inFlight)
+    else if (url.pathname === '/cache-events' && resolved.publishes)
+      sendJson(res, 200, {
+        events: cacheEvents.from(Number(url.searchParams.get('from'))),
+      })
     else if (url.pathname === '/runs') sendJson(res, 200, runs)
     else if (runOfStream !== undefined)
       await resume(call, runOfStream, switches)
@@ -234,5 +221,13 @@
     if (switches.resetBefore) req.socket.destroy()
     return !switches.resetBefore
   })
-  return { ...standIn, orders, faults, script, runs, options: resolved }
+  return {
+    ...standIn,
+    orders,
+    faults,
+    script,
+    cacheEvents,
+    runs,
+    options: resolved,
+  }
 }
