Secure the listeners and shut the doors that tests knock on

Cause: listeners spoke plain HTTP only, secrets stood in the settings, and nothing bounded the connections of one address or customer. Change: TLS for each listener by settings, mutual between routers, renewed certificates taken into use by polling or SIGHUP while open connections stay; secrets from files; limits on connections per address and customer. Excluded: a second listener during renewal (setSecureContext is enough), name checks between routers (their addresses change daily; the CA signs routers alone).

--- a/packages/daemon/src/node/__tests__/startFleet.ts
+++ b/packages/daemon/src/node/__tests__/startFleet.ts
@@ -18,7 +18,7 @@
   type StandIn,
   type VmListStandIn,
 } from '@auburnbay/stand-ins'
-import { createDaemon, type Daemon } from '../createDaemon.js'
+import { createDaemon, type Daemon, type DaemonParts } from '../createDaemon.js'
 import { resolveSettings } from '../settings/resolveSettings.js'
 import type { Settings } from '../settings/settingsSchema.js'
 
@@ -31,6 +31,8 @@
   readonly engine?: EngineOptions
   /** Settings on top of those of the test fleet. */
   readonly settings?: Partial<Settings>
+  /** Parts that every router gets. */
+  readonly parts?: DaemonParts
 }
 
 /** Routers and stand-ins in one process. */
@@ -133,7 +135,7 @@
   for (let index = 0; index < (options.routers ?? 1); index += 1) {
     const extra = options.settings ?? {}
     const settings = resolveSettings(routerSettings(index, log, vmList, extra))
-    routers.push(await createDaemon(settings._unsafeUnwrap()))
+    routers.push(await createDaemon(settings._unsafeUnwrap(), options.parts))
   }
   vmList.vms = routers.map((router, index) => ({
     id: `router-${index + 1}`,
--- a/packages/daemon/src/node/admin/adminParts.ts
+++ b/packages/daemon/src/node/admin/adminParts.ts
@@ -4,6 +4,7 @@
 import type { Membership } from '../membership/createMembership.js'
 import type { Heartbeat } from '../peers/heartbeat.js'
 import type { Routing } from '../routing/routing.js'
+import type { Certificates } from '../security/createCertificates.js'
 import type { ResolvedSettings } from '../settings/settingsSchema.js'
 
 /** What the administration API works with. */
@@ -16,4 +17,5 @@
   /** This router as its peers see it. */
   readonly self: () => Heartbeat
   readonly logger: ConsolaInstance
+  readonly certificates: Certificates
 }
--- a/packages/daemon/src/node/admin/createAdminServer.ts
+++ b/packages/daemon/src/node/admin/createAdminServer.ts
@@ -1,8 +1,4 @@
-import {
-  createServer,
-  type IncomingMessage,
-  type ServerResponse,
-} from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { includesRole } from '@auburnbay/core'
 import {
   closeServer,
@@ -91,7 +87,7 @@
     sendJson(res, status, body, closes ? { connection: 'close' } : {})
   }
 
-  const server = createServer(
+  const server = parts.certificates.createServer(
     {
       maxHeaderSize: settings.callers.maxHeaderBytes,
       headersTimeout: settings.callers.headersTimeoutMs,
@@ -106,6 +102,7 @@
         else sendJson(res, failed.status, failed.body)
       })
     },
+    settings.listen.admin.tls,
   )
   const address = await listen(server, settings.listen.admin)
   return {
--- a/packages/daemon/src/node/bin.ts
+++ b/packages/daemon/src/node/bin.ts
@@ -25,6 +25,7 @@
   }
   process.once('SIGTERM', stop)
   process.once('SIGINT', stop)
+  process.on('SIGHUP', daemon.reloadCertificates)
 }
 
 const app = command({
--- a/packages/daemon/src/node/callers/createCallerServer.ts
+++ b/packages/daemon/src/node/callers/createCallerServer.ts
@@ -1,8 +1,5 @@
-import {
-  createServer,
-  type IncomingMessage,
-  type ServerResponse,
-} from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { type Configuration, FailureCode, Verdict } from '@auburnbay/core'
 import {
   BodyError,
@@ -15,6 +12,8 @@
 import type { ConsolaInstance } from 'consola'
 import { SLOW_CALLER_CHECK_MS } from '../constants.js'
 import type { Metrics } from '../metrics/metrics.js'
+import type { Certificates } from '../security/createCertificates.js'
+import { createConnectionLimits } from '../security/createConnectionLimits.js'
 import type { ResolvedSettings } from '../settings/settingsSchema.js'
 import { Hop, type HopSpan, type Tracing } from '../tracing/createTracing.js'
 import type { Dispatcher } from './createDispatcher.js'
@@ -32,6 +31,7 @@
   readonly tracing: Tracing
   readonly metrics: Metrics
   readonly logger: ConsolaInstance
+  readonly certificates: Certificates
 }
 
 /** The listener for callers. */
@@ -50,6 +50,10 @@
   options: CallerServerOptions,
 ): Promise<CallerServer> {
   const { settings, configuration, dispatcher, tracing, logger } = options
+  const connections = createConnectionLimits({
+    maxPerAddress: settings.callers.maxConnectionsPerAddress,
+    maxPerCustomer: settings.callers.maxConnectionsPerCustomer,
+  })
   let refusing = false
   let inFlight = 0
 
@@ -70,6 +74,11 @@
       sendFailure(res, customer.error, true)
       return
     }
+    if (!connections.claim(customer.value, req.socket)) {
+      const message = `more than ${settings.callers.maxConnectionsPerCustomer} connections are open; use those again`
+      sendFailure(res, createFailure(FailureCode.LimitReached, message), true)
+      return
+    }
     const body = await readBody(req, settings.callers.maxBodyBytes)
     if (body.isErr()) {
       if (body.error === BodyError.Aborted) return
@@ -133,7 +142,7 @@
     }
   }
 
-  const server = createServer(
+  const server = options.certificates.createServer(
     {
       maxHeaderSize: settings.callers.maxHeaderBytes,
       headersTimeout: settings.callers.headersTimeoutMs,
@@ -143,8 +152,12 @@
     (req, res) => {
       void serve(req, res)
     },
+    settings.listen.callers.tls,
   )
   server.on('clientError', refuseBrokenRequest)
+  server.on('connection', (socket: Socket) => {
+    if (!connections.open(socket)) socket.destroy()
+  })
   const address = await listen(server, settings.listen.callers)
   return {
     address,
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from 'node:crypto'
 import { performance } from 'node:perf_hooks'
 import { setTimeout as sleep } from 'node:timers/promises'
+import type { SpanProcessor } from '@opentelemetry/sdk-trace-base'
 import type { ListenAddress } from '@auburnbay/http-utils'
 import { createAdminServer } from './admin/createAdminServer.js'
 import type { Admission } from './admission/admission.js'
@@ -16,6 +17,7 @@
 import { createLogs } from './logging/createLogs.js'
 import { createMembership } from './membership/createMembership.js'
 import { createVmListPoller } from './membership/createVmListPoller.js'
+import { createCertificates } from './security/createCertificates.js'
 import { createMetrics } from './metrics/createMetrics.js'
 import { createPeerClient } from './peers/createPeerClient.js'
 import { createPeerServer } from './peers/createPeerServer.js'
@@ -33,6 +35,12 @@
   readonly admin: ListenAddress
 }
 
+/** Parts that replace or extend the daemon's own. */
+export interface DaemonParts {
+  /** Take every span besides the exporter of the settings. */
+  readonly spanProcessors?: SpanProcessor[]
+}
+
 /** A running router. */
 export interface Daemon {
   readonly addresses: DaemonAddresses
@@ -40,16 +48,23 @@
   readonly load: Pick<Admission, 'running' | 'waiting'>
   /** Stops gracefully: no request in flight is cut off. */
   stop(): Promise<void>
+  /** Takes renewed certificates into use at once. */
+  readonly reloadCertificates: () => void
 }
 
 /** Starts a router; rejects when an address is in use. */
 export async function createDaemon(
   settings: ResolvedSettings,
+  parts: DaemonParts = {},
 ): Promise<Daemon> {
   const logs = createLogs(settings.logs)
   const logger = logs.part('daemon')
   const metrics = createMetrics(settings)
-  const tracing = createTracing(settings)
+  const tracing = createTracing(settings, parts.spanProcessors)
+  const certificates = createCertificates(
+    settings.certificates.pollMs,
+    logs.part('certificates'),
+  )
   const now = (): number => performance.now()
   const incarnation = randomUUID()
   let stopping = false
@@ -103,7 +118,14 @@
       started: admission.startedByCustomer(),
     },
   })
-  const peerClient = createPeerClient(settings.secrets.peer)
+  const peerTls = settings.listen.peers.tls
+  // Peers have changing addresses; the CA alone says who is a router.
+  const peerAgent = certificates.createAgent(peerTls, { checksName: false })
+  const peerClient = createPeerClient(
+    settings.secrets.peer,
+    peerAgent,
+    peerTls ? 'https' : 'http',
+  )
   const membership = createMembership({
     settings,
     client: peerClient,
@@ -111,12 +133,12 @@
     self,
     now,
   })
-  const peerServer = await createPeerServer(settings, {
-    onHeartbeat: (heartbeat) => {
-      membership.heard(heartbeat)
-      return self()
-    },
-  })
+  const onHeartbeat = (heartbeat: Heartbeat): Heartbeat => {
+    membership.heard(heartbeat)
+    return self()
+  }
+  const handlers = { onHeartbeat }
+  const peerServer = await createPeerServer(settings, handlers, certificates)
 
   const targets = createWatchedTargets(
     createTargetClient(settings.targets),
@@ -143,6 +165,7 @@
     tracing,
     metrics,
     logger: logs.part('callers'),
+    certificates,
   })
   const admin = await createAdminServer({
     settings,
@@ -152,6 +175,7 @@
     routing,
     self,
     logger: logs.part('admin'),
+    certificates,
   })
   const addresses = {
     callers: callers.address,
@@ -181,6 +205,7 @@
       admission.stop(),
       tailer.stop(),
       peerServer.stop(),
+      certificates.stop(),
     ])
     targets.close()
     peerClient.close()
@@ -189,5 +214,6 @@
     logger.info('Stopped.')
   }
 
-  return { addresses, load: admission, stop }
+  const reloadCertificates = certificates.reload
+  return { addresses, load: admission, stop, reloadCertificates }
 }
--- a/packages/daemon/src/node/peers/createPeerClient.ts
+++ b/packages/daemon/src/node/peers/createPeerClient.ts
@@ -1,4 +1,4 @@
-import { Agent } from 'node:http'
+import type { Agent } from 'node:http'
 import { createNodeFetch, type TrafficCount } from '@auburnbay/http-utils'
 import { createTRPCClient, httpBatchLink, type TRPCClient } from '@trpc/client'
 import { PEER_CALL_TIMEOUT_MS } from '../constants.js'
@@ -16,8 +16,11 @@
 }
 
 /** Creates the client for calls to other routers. */
-export function createPeerClient(secret: string): PeerClient {
-  const agent = new Agent({ keepAlive: true })
+export function createPeerClient(
+  secret: string,
+  agent: Agent,
+  scheme: 'http' | 'https',
+): PeerClient {
   const traffic: TrafficCount = { sentBytes: 0, receivedBytes: 0 }
   const clients = new Map<string, TRPCClient<PeerApi>>()
 
@@ -27,7 +30,7 @@
     const created = createTRPCClient<PeerApi>({
       links: [
         httpBatchLink({
-          url: `http://${address}`,
+          url: `${scheme}://${address}`,
           headers: { [PEER_SECRET_HEADER]: secret },
           fetch: createNodeFetch(agent, traffic) as typeof fetch,
         }),
--- a/packages/daemon/src/node/peers/createPeerServer.ts
+++ b/packages/daemon/src/node/peers/createPeerServer.ts
@@ -1,6 +1,6 @@
-import { createServer } from 'node:http'
 import { closeServer, listen, type ListenAddress } from '@auburnbay/http-utils'
 import { createHTTPHandler } from '@trpc/server/adapters/standalone'
+import type { Certificates } from '../security/createCertificates.js'
 import type { ResolvedSettings } from '../settings/settingsSchema.js'
 import { createPeerApi, type PeerHandlers } from './peerApi.js'
 import { PEER_SECRET_HEADER, secretsMatch } from './peerSecret.js'
@@ -15,6 +15,7 @@
 export async function createPeerServer(
   settings: ResolvedSettings,
   handlers: PeerHandlers,
+  certificates: Certificates,
 ): Promise<PeerServer> {
   const handler = createHTTPHandler({
     router: createPeerApi(handlers),
@@ -25,7 +26,8 @@
       ),
     }),
   })
-  const server = createServer(handler)
+  const { tls } = settings.listen.peers
+  const server = certificates.createServer({}, handler, tls)
   const address = await listen(server, settings.listen.peers)
   return {
     address,
--- /dev/null
+++ b/packages/daemon/src/node/security/__tests__/startTlsRouter.ts
@@ -0,0 +1,48 @@
+import { createLogService, createVmList } from '@auburnbay/stand-ins'
+import { createDaemon, type Daemon } from '../../createDaemon.js'
+import { resolveSettings } from '../../settings/resolveSettings.js'
+
+/** A router whose listeners all speak TLS. */
+export interface TlsRouter {
+  readonly daemon: Daemon
+  stop(): Promise<void>
+}
+
+/** TLS files of the listeners. */
+export interface ListenerFiles {
+  readonly certFile: string
+  readonly keyFile: string
+  readonly caFile?: string
+}
+
+/** Starts a router without targets on free ports. */
+export async function startTlsRouter(
+  tls: ListenerFiles,
+  pollMs: number,
+): Promise<TlsRouter> {
+  const log = await createLogService()
+  const vmList = await createVmList()
+  const listener = { host: '127.0.0.1', port: 0, tls }
+  const settings = resolveSettings({
+    router: { id: 'router-1', dataCentre: 'dc-1' },
+    listen: { callers: listener, peers: listener, admin: listener },
+    logService: { url: log.url },
+    vmList: { url: vmList.url },
+    secrets: {
+      peer: 'test-peer-secret-0123456789',
+      hint: 'test-hint-secret-0123456789',
+      admin: 'test-admin-token-0123456789',
+    },
+    certificates: { pollMs },
+    logs: { level: 0 },
+    stopping: { balancerDelayMs: 0 },
+  })
+  const daemon = await createDaemon(settings._unsafeUnwrap())
+  return {
+    daemon,
+    stop: async () => {
+      await daemon.stop()
+      await Promise.all([log.close(), vmList.close()])
+    },
+  }
+}
--- a/packages/daemon/src/node/settings/settingsSchema.ts
+++ b/packages/daemon/src/node/settings/settingsSchema.ts
@@ -1,10 +1,15 @@
 import { z } from 'zod'
+import { DEFAULT_CERTIFICATE_POLL_MS } from '../security/constants.js'
+import { secretSchema } from '../security/secretSchema.js'
+import { clientTlsSchema, serverTlsSchema } from '../security/tlsSchema.js'
 import { LogFormat } from './logFormat.js'
 
 const listenSchema = z.strictObject({
   host: z.string().min(1),
   /** 0 takes a free port. */
   port: z.int().min(0).max(65_535),
+  /** Plain HTTP without it. */
+  tls: serverTlsSchema.optional(),
 })
 
 const positiveMs = z.int().positive()
@@ -28,12 +33,18 @@
   }),
   secrets: z.strictObject({
     /** Shared by all routers. */
-    peer: z.string().min(16),
+    peer: secretSchema,
     /** Signs affinity hints. */
-    hint: z.string().min(16),
+    hint: secretSchema,
     /** Token of the first operator. */
-    admin: z.string().min(16),
+    admin: secretSchema,
   }),
+  certificates: z
+    .strictObject({
+      /** Milliseconds between two looks at the files. @default 30000 */
+      pollMs: positiveMs.default(DEFAULT_CERTIFICATE_POLL_MS),
+    })
+    .prefault({}),
   logs: z
     .strictObject({
       /** @default "human" */
@@ -58,10 +69,16 @@
       headersTimeoutMs: positiveMs.default(5_000),
       /** Milliseconds until a request must be whole. @default 30000 */
       requestTimeoutMs: positiveMs.default(30_000),
+      /** Open connections from one address; behind a balancer that is the balancer's. */
+      maxConnectionsPerAddress: z.int().positive().optional(),
+      /** Open connections of one customer. @default 1024 */
+      maxConnectionsPerCustomer: z.int().positive().default(1_024),
     })
     .prefault({}),
   targets: z
     .strictObject({
+      /** TLS towards every target; plain HTTP without it. */
+      tls: clientTlsSchema.optional(),
       /** @default 1000 */
       connectTimeoutMs: positiveMs.default(1_000),
       /** Milliseconds until the first byte of an answer. @default 30000 */
--- a/packages/http-utils/src/node/createNodeFetch.ts
+++ b/packages/http-utils/src/node/createNodeFetch.ts
@@ -1,5 +1,6 @@
-import { Agent, request } from 'node:http'
+import { Agent } from 'node:http'
 import { readBody } from './readBody.js'
+import { requestUrl } from './requestUrl.js'
 
 const MAX_REPLY_BYTES = 16 * 1024 * 1024
 
@@ -25,7 +26,7 @@
   return (input, init = {}) =>
     new Promise((resolve, reject) => {
       const payload = typeof init.body === 'string' ? init.body : undefined
-      const req = request(input, {
+      const req = requestUrl(input, {
         method: init.method ?? 'GET',
         agent,
         signal: init.signal ?? undefined,
--- /dev/null
+++ b/packages/http-utils/src/node/createWebServer.ts
@@ -0,0 +1,26 @@
+import {
+  createServer as createHttpServer,
+  type RequestListener,
+  type Server as HttpServer,
+  type ServerOptions,
+} from 'node:http'
+import {
+  createServer as createHttpsServer,
+  type Server as HttpsServer,
+} from 'node:https'
+import type { TlsMaterial } from './tlsFiles.js'
+
+/** A server for HTTP, with or without TLS. */
+export type WebServer = HttpServer | HttpsServer
+
+/** Creates a server; with a CA only clients with its certificates get in. */
+export function createWebServer(
+  options: ServerOptions,
+  listener: RequestListener,
+  tls?: TlsMaterial,
+): WebServer {
+  if (!tls) return createHttpServer(options, listener)
+  const requestCert = tls.ca !== undefined
+  const secure = { ...options, ...tls, requestCert, rejectUnauthorized: true }
+  return createHttpsServer(secure, listener)
+}
--- a/packages/http-utils/src/node/listen.ts
+++ b/packages/http-utils/src/node/listen.ts
@@ -1,5 +1,5 @@
-import type { Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import type { WebServer } from './createWebServer.js'
 
 /** Where a server listens; port 0 takes a free one. */
 export interface ListenAddress {
@@ -9,7 +9,7 @@
 
 /** Starts listening and returns the address taken; rejects when it is in use. */
 export function listen(
-  server: Server,
+  server: WebServer,
   address: ListenAddress,
 ): Promise<ListenAddress> {
   return new Promise((resolve, reject) => {
@@ -23,7 +23,7 @@
 }
 
 /** Stops listening and resolves once every connection has ended. */
-export function closeServer(server: Server): Promise<void> {
+export function closeServer(server: WebServer): Promise<void> {
   return new Promise((resolve) => {
     server.close(() => {
       resolve()
--- a/packages/http-utils/src/node/requestJson.ts
+++ b/packages/http-utils/src/node/requestJson.ts
@@ -1,6 +1,7 @@
-import { type Agent, type OutgoingHttpHeaders, request } from 'node:http'
+import type { Agent, OutgoingHttpHeaders } from 'node:http'
 import { err, ok, type Result } from 'neverthrow'
 import { readBody } from './readBody.js'
+import { requestUrl } from './requestUrl.js'
 
 /** A small JSON call over HTTP. */
 export interface JsonCall {
@@ -40,7 +41,7 @@
     }
     const payload =
       call.body === undefined ? undefined : JSON.stringify(call.body)
-    const req = request(call.url, {
+    const req = requestUrl(call.url, {
       method: call.method,
       agent: call.agent,
       signal: AbortSignal.timeout(call.timeoutMs),
