--- a/packages/core/src/node/configuration/callerKey.ts
+++ b/packages/core/src/node/configuration/callerKey.ts
@@ -1,5 +1,9 @@
 import { randomBytes } from 'node:crypto'
-import { createSaltedHash, matchesSaltedHash } from '../security/saltedHash.js'
+import {
+  createSaltedHash,
+  matchesSaltedHash,
+  UNKNOWN_SECRET,
+} from '../security/saltedHash.js'
 import type {
   CallerKeyConfiguration,
   Configuration,
@@ -32,10 +36,11 @@
   nowMs: number,
 ): string | undefined {
   const [customer = '', keyId = '', secret = ''] = text.split('/')
-  if (!Object.hasOwn(cfg.customers, customer)) return undefined
-  const keys = cfg.customers[customer]?.keys ?? {}
-  if (!Object.hasOwn(keys, keyId)) return undefined
-  const key = keys[keyId]
-  if (!key) return undefined
-  return matchesSaltedHash(key, secret, nowMs) ? customer : undefined
+  const keys = Object.hasOwn(cfg.customers, customer)
+    ? cfg.customers[customer]?.keys
+    : undefined
+  const key = keys && Object.hasOwn(keys, keyId) ? keys[keyId] : undefined
+  // An unknown name takes as long as a wrong secret.
+  const matches = matchesSaltedHash(key ?? UNKNOWN_SECRET, secret, nowMs)
+  return key && matches ? customer : undefined
 }
--- a/packages/core/src/node/security/saltedHash.ts
+++ b/packages/core/src/node/security/saltedHash.ts
@@ -25,6 +25,9 @@
   return { salt, hash: digest(salt, secret) }
 }
 
+/** Stands in for the hash of an unknown key; no secret matches it. */
+export const UNKNOWN_SECRET: SaltedHash = { salt: '-', hash: '0'.repeat(64) }
+
 /** Compares a secret with a hash in constant time; an expired one never matches. */
 export function matchesSaltedHash(
   stored: SaltedHash,
--- a/packages/core/src/node/teams/operatorToken.ts
+++ b/packages/core/src/node/teams/operatorToken.ts
@@ -4,6 +4,7 @@
   createSaltedHash,
   matchesSaltedHash,
   type SaltedHash,
+  UNKNOWN_SECRET,
 } from '../security/saltedHash.js'
 import { type Actor, findActor } from './actor.js'
 
@@ -32,8 +33,10 @@
   const parts = text.split('/')
   if (parts.length !== 2) return undefined
   const [operatorId = '', secret = ''] = parts
-  if (!Object.hasOwn(cfg.operators, operatorId)) return undefined
-  const token = cfg.operators[operatorId]?.token
-  if (!token || !matchesSaltedHash(token, secret, nowMs)) return undefined
-  return findActor(cfg, operatorId)
+  const token = Object.hasOwn(cfg.operators, operatorId)
+    ? cfg.operators[operatorId]?.token
+    : undefined
+  // An unknown name takes as long as a wrong secret.
+  const matches = matchesSaltedHash(token ?? UNKNOWN_SECRET, secret, nowMs)
+  return token && matches ? findActor(cfg, operatorId) : undefined
 }
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto'
+import { Agent } from 'node:http'
 import { performance } from 'node:perf_hooks'
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { SpanProcessor } from '@opentelemetry/sdk-trace-base'
@@ -75,6 +76,8 @@
   const vmList = createVmListPoller(settings.vmList, logs.part('membership'))
   const vms = () => vmList.vms
 
+  const toTargets = <T extends Agent>(agent: T): T =>
+    certificates.secure(agent, settings.targets.tls)
   const addressesOfTargets = () =>
     Object.entries(configuration().targets).map(([id, { address }]) => ({
       id,
@@ -84,6 +87,7 @@
     addressesOfTargets,
     settings.targets.reportMs,
     now,
+    toTargets(new Agent({ keepAlive: true })),
   )
   const health = createTargetHealth({
     settings: settings.health,
@@ -141,7 +145,7 @@
   const peerServer = await createPeerServer(settings, handlers, certificates)
 
   const targets = createWatchedTargets(
-    createTargetClient(settings.targets),
+    createTargetClient(settings.targets, toTargets),
     health,
   )
   const dispatcher = createDispatcher({
--- /dev/null
+++ b/packages/daemon/src/node/security/__tests__/targetTls.test.ts
@@ -0,0 +1,83 @@
+import assert from 'node:assert/strict'
+import { readFileSync } from 'node:fs'
+import { describe, it } from 'node:test'
+import {
+  closeServer,
+  createWebServer,
+  formatAddress,
+  listen,
+  sendJson,
+} from '@auburnbay/http-utils'
+import { callApi } from '../../__tests__/callApi.js'
+import { eventually, startFleet } from '../../__tests__/startFleet.js'
+import { callAdmin } from '../../admin/__tests__/callAdmin.js'
+import { createTestCertificates } from './createTestCertificates.js'
+
+async function startTarget(files: { certFile: string; keyFile: string }) {
+  let calls = 0
+  const tls = {
+    cert: readFileSync(files.certFile, 'utf8'),
+    key: readFileSync(files.keyFile, 'utf8'),
+  }
+  const listener = createWebServer(
+    {},
+    (req, res) => {
+      if (req.url !== '/load') calls += 1
+      const headers = { 'x-request-id': req.headers['x-request-id'] ?? '' }
+      sendJson(res, 200, { inFlight: 3 }, headers)
+    },
+    tls,
+  )
+  const address = await listen(listener, { host: '127.0.0.1', port: 0 })
+  return {
+    address: formatAddress(address),
+    calls: () => calls,
+    close: () => closeServer(listener),
+  }
+}
+
+describe('TLS towards targets', () => {
+  it('sends requests and load polls to targets of the CA alone', async () => {
+    const certificates = await createTestCertificates()
+    const strangers = await createTestCertificates()
+    const known = await startTarget(await certificates.issue('target'))
+    const stranger = await startTarget(await strangers.issue('target'))
+    const { caFile } = certificates
+    const targets = { tls: { caFile }, reportMs: 50 }
+    const fleet = await startFleet({ engines: 1, settings: { targets } })
+    try {
+      const add = (id: string, service: string, address: string) => [
+        { op: 'add', path: `/services/${service}`, value: { kind: 'plain' } },
+        {
+          op: 'add',
+          path: `/targets/${id}`,
+          value: { service, address, dataCentre: 'dc-1' },
+        },
+      ]
+      const operations = [
+        ...add('known-1', 'known', known.address),
+        ...add('stranger-1', 'stranger', stranger.address),
+      ]
+      assert.equal((await fleet.patch(operations, 1)).status, 200)
+      const call = (service: string) =>
+        callApi({
+          url: `${fleet.callerUrl()}/v1/services/${service}/x`,
+          headers: { authorization: `Bearer ${fleet.callerKey}` },
+        })
+      assert.equal((await call('known')).status, 200)
+      assert.equal(known.calls(), 1)
+      // 502 for the attempt itself, 503 once the target counts as failing.
+      const refused = await call('stranger')
+      assert.ok([502, 503].includes(refused.status), String(refused.status))
+      assert.equal(stranger.calls(), 0)
+      await eventually(async () => {
+        const { body } = await callAdmin(fleet, { path: '/targets' })
+        const list = body as unknown as { id: string; load?: number }[]
+        return list.some(({ id, load }) => id === 'known-1' && load === 3)
+      })
+    } finally {
+      await fleet.stop()
+      await Promise.all([known.close(), stranger.close()])
+    }
+  })
+})
--- a/packages/daemon/src/node/security/createCertificates.ts
+++ b/packages/daemon/src/node/security/createCertificates.ts
@@ -4,6 +4,7 @@
   type ServerOptions,
 } from 'node:http'
 import { Agent as HttpsAgent } from 'node:https'
+import { connect, type ConnectionOptions, type TLSSocket } from 'node:tls'
 import { isDeepStrictEqual } from 'node:util'
 import {
   createWebServer,
@@ -25,6 +26,8 @@
   ): WebServer
   /** Creates an agent for kept connections; TLS when files are named. */
   createAgent(files?: TlsFiles, options?: TlsClientOptions): HttpAgent
+  /** Makes a plain agent open its connections over TLS when files are named. */
+  secure<T extends HttpAgent>(agent: T, files?: TlsFiles): T
   /** Takes renewed files into use; connections that are open stay. */
   readonly reload: () => void
   stop(): Promise<void>
@@ -97,6 +100,20 @@
       follow({ files, material, apply })
       return server
     },
+    secure(agent, files) {
+      if (!files) return agent
+      const follower: Follower = {
+        files,
+        material: load(files),
+        // Each connection reads the newest material when it opens.
+        apply: () => undefined,
+      }
+      follow(follower)
+      const createConnection = (options: ConnectionOptions): TLSSocket =>
+        connect({ ...options, ...follower.material })
+      Object.assign(agent, { createConnection })
+      return agent
+    },
     createAgent(files, { checksName = true } = {}) {
       if (!files) return new HttpAgent({ keepAlive: true })
       const material = load(files)
--- a/packages/daemon/src/node/targets/createLoadReporter.ts
+++ b/packages/daemon/src/node/targets/createLoadReporter.ts
@@ -25,8 +25,8 @@
   targets: () => readonly TargetAddress[],
   everyMs: number,
   now: () => number,
+  agent: Agent = new Agent({ keepAlive: true }),
 ): LoadReporter {
-  const agent = new Agent({ keepAlive: true })
   const reports = new Map<string, LoadReport>()
 
   async function poll(target: TargetAddress): Promise<void> {
--- a/packages/daemon/src/node/targets/createTargetClient.ts
+++ b/packages/daemon/src/node/targets/createTargetClient.ts
@@ -70,10 +70,12 @@
 /** Creates the client for requests to targets. */
 export function createTargetClient(
   settings: ResolvedSettings['targets'],
+  /** Prepares agents, for TLS. */
+  prepare: <T extends Agent>(agent: T) => T = (agent) => agent,
 ): TargetClient {
-  const pool = new ConnectionPool(settings.pooledIdleMs)
+  const pool = prepare(new ConnectionPool(settings.pooledIdleMs))
   // Without keepAlive every request opens a connection of its own.
-  const unpooled = new Agent({ keepAlive: false })
+  const unpooled = prepare(new Agent({ keepAlive: false }))
   const identity = createReplyIdentity()
 
   function createReply(
