Emit the three measures and say who and what in every span

Cause: spans named neither customer nor service, nothing measured control traffic, and cache reuse and skew were not sent. Excluded: counting bodies in the clients, which misses headers.

--- a/packages/daemon/src/node/callers/createAttempt.ts
+++ b/packages/daemon/src/node/callers/createAttempt.ts
@@ -1,10 +1,11 @@
 import type { Context } from '@opentelemetry/api'
-import type { RequestFailure } from '@auburnbay/core'
+import { type RequestFailure, Verdict } from '@auburnbay/core'
 import { err, ok, type Result } from 'neverthrow'
 import type { Placement, Routing } from '../routing/routing.js'
 import type { TargetClient } from '../targets/targetClient.js'
 import type { TargetReply } from '../targets/targetReply.js'
 import { Hop, type Tracing } from '../tracing/createTracing.js'
+import { spanFields } from '../tracing/spanFields.js'
 import type { RoutedRequest } from './routedRequest.js'
 
 /** An answered attempt: the place it holds and the answer's head. */
@@ -35,12 +36,15 @@
   const { routing, targets, tracing } = options
 
   return async (request, exclude, parent, again) => {
-    const deciding = tracing.start(Hop.Decide, parent)
+    const deciding = tracing.start(Hop.Decide, parent, spanFields(request))
     const placed = await routing.place(request, exclude)
+    if (placed.isOk()) deciding.set({ target: placed.value.target.id })
+    else deciding.set({ verdict: placed.error.verdict })
     deciding.end(placed.isErr() ? placed.error.message : undefined)
     if (placed.isErr()) return err(placed.error)
     const placement = placed.value
     const sending = tracing.start(Hop.Target, parent, {
+      ...spanFields(request),
       target: placement.target.id,
     })
     const headers = tracing.inject(sending.context)
@@ -51,9 +55,11 @@
       placement.release()
       // A connection that was kept too long says nothing against its target.
       if (!sent.error.reusedConnection) exclude.add(placement.target.id)
+      sending.set({ verdict: sent.error.verdict })
       sending.end(sent.error.message)
       return err(sent.error)
     }
+    sending.set({ verdict: Verdict.Ran })
     sent.value.body.once('close', () => {
       sending.end()
     })
--- a/packages/daemon/src/node/callers/createCallerServer.ts
+++ b/packages/daemon/src/node/callers/createCallerServer.ts
@@ -106,7 +106,7 @@
     if (result.isErr()) {
       span.set({ verdict: result.error.verdict })
       sendFailure(res, result.error)
-    }
+    } else span.set({ verdict: Verdict.Ran })
   }
 
   async function serve(
--- a/packages/daemon/src/node/callers/createDispatcher.ts
+++ b/packages/daemon/src/node/callers/createDispatcher.ts
@@ -8,6 +8,7 @@
 import type { Routing } from '../routing/routing.js'
 import type { TargetClient } from '../targets/targetClient.js'
 import { Hop, type Tracing } from '../tracing/createTracing.js'
+import { spanFields } from '../tracing/spanFields.js'
 import { type Attempt, createAttempt } from './createAttempt.js'
 import { createRelay } from './createRelay.js'
 import { limitToDeadline } from './limitToDeadline.js'
@@ -62,8 +63,9 @@
     res: ServerResponse,
     parent: Context,
   ): Promise<Result<void, RequestFailure>> {
-    const queueing = tracing.start(Hop.Queue, parent, { rank: request.rank })
+    const queueing = tracing.start(Hop.Queue, parent, spanFields(request))
     const admitted = await admission.enter(request)
+    if (admitted.isErr()) queueing.set({ verdict: admitted.error.verdict })
     queueing.end(admitted.isErr() ? admitted.error.message : undefined)
     if (admitted.isErr()) return err(admitted.error)
     try {
--- a/packages/daemon/src/node/callers/createRelay.ts
+++ b/packages/daemon/src/node/callers/createRelay.ts
@@ -1,12 +1,14 @@
 import type { ServerResponse } from 'node:http'
 import type { Context } from '@opentelemetry/api'
 import { ServiceKind } from '@auburnbay/core'
+import { countCacheUse } from '../metrics/countCacheUse.js'
 import type { Metrics } from '../metrics/metrics.js'
 import type { Placement } from '../routing/routing.js'
 import { runIdOf } from '../targets/replyIdentity.js'
 import type { TargetClient } from '../targets/targetClient.js'
 import type { TargetReply } from '../targets/targetReply.js'
 import { Hop, type Tracing } from '../tracing/createTracing.js'
+import { spanFields } from '../tracing/spanFields.js'
 import { endsWithConnection, relayBody } from './relayBody.js'
 import { relayEventStream, type ResumeStream } from './relayEventStream.js'
 import type { RoutedRequest } from './routedRequest.js'
@@ -54,6 +56,7 @@
     const { target } = placement
     return async (from) => {
       const span = tracing.start(Hop.Resume, parent, {
+        ...spanFields(request),
         target: target.id,
         from,
       })
@@ -89,6 +92,7 @@
       res.useChunkedEncodingByDefault = false
       res.shouldKeepAlive = false
     }
+    countCacheUse(metrics, request, reply)
     writeReplyHead(res, placement, reply, streams)
     try {
       if (streams) await relayStream(call)
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -1,5 +1,4 @@
 import { randomUUID } from 'node:crypto'
-import { Agent } from 'node:http'
 import { performance } from 'node:perf_hooks'
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { SpanProcessor } from '@opentelemetry/sdk-trace-base'
@@ -18,7 +17,12 @@
 import { createLogs } from './logging/createLogs.js'
 import { createMembership } from './membership/createMembership.js'
 import { createVmListPoller } from './membership/createVmListPoller.js'
+import { createAgents } from './security/createAgents.js'
 import { createCertificates } from './security/createCertificates.js'
+import { ControlPurpose } from './metrics/controlPurpose.js'
+import { DEFAULT_METRICS_MS } from './metrics/constants.js'
+import { createMetricsReporter } from './metrics/createMetricsReporter.js'
+import { createTrafficMeter } from './metrics/createTrafficMeter.js'
 import { createMetrics } from './metrics/createMetrics.js'
 import { createPeerClient } from './peers/createPeerClient.js'
 import { createPeerServer } from './peers/createPeerServer.js'
@@ -70,14 +74,18 @@
   const incarnation = randomUUID()
   let stopping = false
 
-  const log = createLogClient(settings.logService.url)
+  const traffic = createTrafficMeter()
+  const agents = createAgents(settings, certificates, traffic)
+  const log = createLogClient(settings.logService.url, agents.log)
   const tailer = createConfigurationTailer(log, logs.part('configuration'))
   const configuration = () => tailer.state.configuration
-  const vmList = createVmListPoller(settings.vmList, logs.part('membership'))
+  const vmList = createVmListPoller(
+    settings.vmList,
+    logs.part('membership'),
+    agents.vmList,
+  )
   const vms = () => vmList.vms
 
-  const toTargets = <T extends Agent>(agent: T): T =>
-    certificates.secure(agent, settings.targets.tls)
   const addressesOfTargets = () =>
     Object.entries(configuration().targets).map(([id, { address }]) => ({
       id,
@@ -87,7 +95,7 @@
     addressesOfTargets,
     settings.targets.reportMs,
     now,
-    toTargets(new Agent({ keepAlive: true })),
+    agents.loads,
   )
   const health = createTargetHealth({
     settings: settings.health,
@@ -122,13 +130,10 @@
       started: admission.startedByCustomer(),
     },
   })
-  const peerTls = settings.listen.peers.tls
-  // Peers have changing addresses; the CA alone says who is a router.
-  const peerAgent = certificates.createAgent(peerTls, { checksName: false })
   const peerClient = createPeerClient(
     settings.secrets.peer,
-    peerAgent,
-    peerTls ? 'https' : 'http',
+    agents.peers,
+    settings.listen.peers.tls ? 'https' : 'http',
   )
   const membership = createMembership({
     settings,
@@ -142,10 +147,17 @@
     return self()
   }
   const handlers = { onHeartbeat }
-  const peerServer = await createPeerServer(settings, handlers, certificates)
+  const peerServer = await createPeerServer(
+    settings,
+    handlers,
+    certificates,
+    (socket) => {
+      traffic.track(ControlPurpose.Peers, socket)
+    },
+  )
 
   const targets = createWatchedTargets(
-    createTargetClient(settings.targets, toTargets),
+    createTargetClient(settings.targets, agents.toTargets),
     health,
   )
   const dispatcher = createDispatcher({
@@ -182,6 +194,14 @@
     logger: logs.part('admin'),
     certificates,
   })
+  const metricsReporter = createMetricsReporter({
+    metrics,
+    traffic,
+    targets: () => routing.status(),
+    version: () => tailer.state.version,
+    livePeers: () => membership.livePeers().length,
+    everyMs: settings.metrics?.everyMs ?? DEFAULT_METRICS_MS,
+  })
   const addresses = {
     callers: callers.address,
     peers: peerServer.address,
@@ -211,6 +231,7 @@
       tailer.stop(),
       peerServer.stop(),
       certificates.stop(),
+      metricsReporter.stop(),
     ])
     targets.close()
     peerClient.close()
--- a/packages/daemon/src/node/logService/createLogClient.ts
+++ b/packages/daemon/src/node/logService/createLogClient.ts
@@ -38,8 +38,10 @@
 }
 
 /** Creates a client of the log service at `baseUrl`. */
-export function createLogClient(baseUrl: string): LogClient {
-  const agent = new Agent({ keepAlive: true })
+export function createLogClient(
+  baseUrl: string,
+  agent: Agent = new Agent({ keepAlive: true }),
+): LogClient {
   const url = (stream: string): string => `${baseUrl}/streams/${stream}/records`
   return {
     async append(stream, values) {
--- /dev/null
+++ b/packages/daemon/src/node/logging/__tests__/createLogs.test.ts
@@ -0,0 +1,45 @@
+import assert from 'node:assert/strict'
+import { describe, it, mock } from 'node:test'
+import { LogFormat } from '../../settings/logFormat.js'
+import { createLogs } from '../createLogs.js'
+
+function capture(run: () => void): string {
+  let output = ''
+  const write = mock.method(process.stderr, 'write', (text: unknown) => {
+    output += String(text)
+    return true
+  })
+  run()
+  write.mock.restore()
+  return output
+}
+
+describe('logs', () => {
+  it('are one JSON object a line with the part that speaks', () => {
+    const output = capture(() => {
+      const logs = createLogs({ format: LogFormat.Json, level: 3 })
+      logs.part('admin').info('Version 3 is in force.')
+      logs.part('peers').warn('Router router-2 is silent.')
+      logs.part('peers').debug('This is below the level.')
+    })
+    const lines = output.trim().split('\n')
+    const entries = lines.map((line) => JSON.parse(line) as object)
+    assert.equal(entries.length, 2)
+    const [first] = entries as { at: string; level: string; part: string }[]
+    assert.deepEqual(first, {
+      at: first?.at,
+      level: 'info',
+      part: 'admin',
+      message: 'Version 3 is in force.',
+    })
+    assert.match(first.at, /^\d{4}-\d\d-\d\dT/)
+  })
+
+  it('start with the part for people', () => {
+    const output = capture(() => {
+      const logs = createLogs({ format: LogFormat.Human, level: 3 })
+      logs.part('admin').info('Version 3 is in force.')
+    })
+    assert.match(output, /admin.*Version 3 is in force\./)
+  })
+})
--- a/packages/daemon/src/node/membership/createVmListPoller.ts
+++ b/packages/daemon/src/node/membership/createVmListPoller.ts
@@ -1,3 +1,4 @@
+import type { Agent } from 'node:http'
 import { requestJson } from '@auburnbay/http-utils'
 import { type VmEntry, vmListSchema } from '@auburnbay/core'
 import type { ConsolaInstance } from 'consola'
@@ -15,6 +16,7 @@
 export function createVmListPoller(
   settings: ResolvedSettings['vmList'],
   logger: ConsolaInstance,
+  agent?: Agent,
 ): VmListPoller {
   let vms: VmEntry[] = []
 
@@ -23,6 +25,7 @@
       method: 'GET',
       url: `${settings.url}/vms`,
       timeoutMs: VM_LIST_TIMEOUT_MS,
+      agent,
     })
     const parsed = vmListSchema.safeParse(reply.isOk() && reply.value.body)
     if (parsed.success) vms = parsed.data
--- /dev/null
+++ b/packages/daemon/src/node/metrics/createMetricsReporter.ts
@@ -0,0 +1,73 @@
+import type { TargetStatus } from '../routing/routing.js'
+import { createLoop, type Loop } from '../tasks/createLoop.js'
+import { ControlPurpose } from './controlPurpose.js'
+import type { TrafficMeter } from './createTrafficMeter.js'
+import type { Metrics } from './metrics.js'
+
+/** What is reported at intervals. */
+export interface MetricsReporterOptions {
+  readonly metrics: Metrics
+  readonly traffic: TrafficMeter
+  readonly targets: () => readonly TargetStatus[]
+  readonly version: () => number
+  readonly livePeers: () => number
+  /** Milliseconds between two reports. */
+  readonly everyMs: number
+}
+
+/** Returns the highest load over the mean load; 1 while nothing runs. */
+export function loadSkew(loads: readonly number[]): number {
+  let total = 0
+  for (const load of loads) total += load
+  return total === 0 ? 1 : (Math.max(...loads) * loads.length) / total
+}
+
+function byService(
+  targets: readonly TargetStatus[],
+): Map<string, TargetStatus[]> {
+  const services = new Map<string, TargetStatus[]>()
+  for (const target of targets) {
+    const known = services.get(target.service) ?? []
+    known.push(target)
+    services.set(target.service, known)
+  }
+  return services
+}
+
+/** Starts reporting gauges and the control traffic. */
+export function createMetricsReporter(options: MetricsReporterOptions): Loop {
+  const { metrics, traffic, targets, version, livePeers } = options
+  let before = traffic.bytes()
+
+  function reportTraffic(): void {
+    const now = traffic.bytes()
+    for (const purpose of Object.values(ControlPurpose))
+      metrics.count('control.bytes', now[purpose] - before[purpose], {
+        purpose,
+      })
+    before = now
+  }
+
+  function reportLoads(): void {
+    for (const [service, statuses] of byService(targets())) {
+      const loads = statuses.map((status) => status.load)
+      metrics.gauge('load.skew', loadSkew(loads), { service })
+      for (const { id, load, bound } of statuses) {
+        metrics.gauge('target.load', load, { service, target: id })
+        metrics.gauge('target.bound', bound, { service, target: id })
+      }
+    }
+  }
+
+  return createLoop(
+    () => {
+      reportTraffic()
+      reportLoads()
+      metrics.gauge('configuration.version', version())
+      metrics.gauge('peers.live', livePeers())
+      return Promise.resolve()
+    },
+    options.everyMs,
+    () => undefined,
+  )
+}
--- a/packages/daemon/src/node/peers/createPeerServer.ts
+++ b/packages/daemon/src/node/peers/createPeerServer.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net'
 import { closeServer, listen, type ListenAddress } from '@auburnbay/http-utils'
 import { createHTTPHandler } from '@trpc/server/adapters/standalone'
 import type { Certificates } from '../security/createCertificates.js'
@@ -16,6 +17,7 @@
   settings: ResolvedSettings,
   handlers: PeerHandlers,
   certificates: Certificates,
+  onConnection: (socket: Socket) => void,
 ): Promise<PeerServer> {
   const handler = createHTTPHandler({
     router: createPeerApi(handlers),
@@ -28,6 +30,7 @@
   })
   const { tls } = settings.listen.peers
   const server = certificates.createServer({}, handler, tls)
+  server.on('connection', onConnection)
   const address = await listen(server, settings.listen.peers)
   return {
     address,
