--- a/playground/corrib/src/node/__tests__/main.test.ts
+++ b/playground/corrib/src/node/__tests__/main.test.ts
@@ -15,8 +15,11 @@
     const [code] = (await once(child, 'exit')) as [number | null]
     const [, first, second] = output.split('\n')
     assert.equal(code, 0)
-    assert.match(first ?? '', /^router-1: 200 from engine-\d, cache miss: Ice/)
-    const target = /from (engine-\d)/.exec(first ?? '')?.[1] ?? ''
+    assert.match(
+      first ?? '',
+      /^router-1: 200 from briefing-\d, cache miss: Ice/,
+    )
+    const target = /from (briefing-\d)/.exec(first ?? '')?.[1] ?? ''
     assert.match(
       second ?? '',
       new RegExp(`^router-2: 200 from ${target}, cache hit: And`),
--- a/playground/corrib/src/node/index.ts
+++ /dev/null
@@ -1,1 +0,0 @@
-export { createCorribConfiguration } from './corribConfiguration.js'
--- a/playground/corrib/src/node/main.ts
+++ b/playground/corrib/src/node/main.ts
@@ -1,94 +1,34 @@
-import { randomUUID } from 'node:crypto'
-import { setTimeout as sleep } from 'node:timers/promises'
-import type { DaemonAddresses } from '@auburnbay/daemon'
-import { formatAddress, requestJson } from '@auburnbay/http-utils'
-import { type ReadyProcess, startProcess } from './childProcess.js'
-import { createCorribConfiguration } from './corribConfiguration.js'
-import { sampleSecrets, writeRouterSettings } from './settings.js'
-import { startStandIns } from './startStandIns.js'
-import { streamChat } from './streamChat.js'
-
-interface RouterReady {
-  readonly addresses: DaemonAddresses
-}
-
-const CALL_TIMEOUT_MS = 5_000
-const READY_TRIES = 100
-const READY_PAUSE_MS = 50
-
-const daemonUrl = new URL('bin.js', import.meta.resolve('@auburnbay/daemon'))
-
-function say(text: string): void {
-  process.stdout.write(`${text}\n`)
-}
-
-function url(router: ReadyProcess<RouterReady>, part: keyof DaemonAddresses) {
-  return `http://${formatAddress(router.ready.addresses[part])}`
-}
-
-async function waitUntilReady(baseUrl: string): Promise<void> {
-  for (let tries = 0; tries < READY_TRIES; tries += 1) {
-    const reply = await requestJson({
-      method: 'GET',
-      url: `${baseUrl}/readyz`,
-      timeoutMs: CALL_TIMEOUT_MS,
-    })
-    if (reply.isOk() && reply.value.status === 200) return
-    await sleep(READY_PAUSE_MS)
-  }
-  throw new Error(`the router at ${baseUrl} did not become ready`)
-}
-
-const standIns = await startStandIns()
-const routers: ReadyProcess<RouterReady>[] = []
-for (const id of ['router-1', 'router-2']) {
-  const path = writeRouterSettings(id, standIns)
-  const args = ['--settings', path]
-  routers.push(await startProcess<RouterReady>(daemonUrl.href, args))
-}
-await requestJson({
-  method: 'PUT',
-  url: `${standIns.vmList}/vms`,
-  body: routers.map((router, index) => ({
-    id: `router-${index + 1}`,
-    role: 'router',
-    address: formatAddress(router.ready.addresses.peers),
-    dataCentre: 'eu-west-1a',
-    state: 'live',
-  })),
-  timeoutMs: CALL_TIMEOUT_MS,
+import { startSample, streamChat } from '@auburnbay/playground-shared'
+
+const sample = await startSample({
+  settingsFile: new URL('../../settings.json', import.meta.url),
+  configurationFile: new URL('../../configuration.json', import.meta.url),
+  dataCentre: 'eu-west-1a',
+  targets: [
+    { service: 'briefing', standIn: 'engine', count: 3 },
+    { service: 'charts', standIn: 'plain-service', count: 1 },
+  ],
+  customer: 'corrib',
 })
-
-const sample = createCorribConfiguration(standIns.engines, standIns.charts)
-const [first] = routers
-if (!first) throw new Error('no router was started')
-const accepted = await requestJson({
-  method: 'POST',
-  url: `${url(first, 'admin')}/config/patches`,
-  headers: { authorization: `Bearer ${sampleSecrets.admin}` },
-  body: {
-    patchId: randomUUID(),
-    baseVersion: 0,
-    author: 'playground',
-    operations: sample.operations,
-  },
-  timeoutMs: CALL_TIMEOUT_MS,
-})
-if (accepted.isErr() || accepted.value.status !== 200)
-  throw new Error(`the configuration was refused: ${JSON.stringify(accepted)}`)
-say('Configuration version 1 is in force.')
-
-for (const [index, router] of routers.entries()) {
-  const callers = url(router, 'callers')
-  await waitUntilReady(callers)
-  const prompt = index === 0 ? 'Ice in Baffin Bay?' : 'And tomorrow?'
-  const answer = await streamChat(callers, sample.callerKey, prompt)
-  say(
-    `router-${index + 1}: ${answer.status} from ${answer.target}, cache ${answer.cache}: ${answer.text}`,
+process.stdout.write('Configuration version 1 is in force.\n')
+
+for (const [index, url] of sample.callerUrls.entries()) {
+  const answer = await streamChat({
+    url,
+    key: sample.callerKey,
+    service: 'briefing',
+    chat: 'voyage-17',
+    kind: 'route-briefing',
+    prompt: index === 0 ? 'Ice in Baffin Bay?' : 'And tomorrow?',
+  })
+  const { status, target, cache, text } = answer
+  process.stdout.write(
+    `router-${index + 1}: ${status} from ${target}, cache ${cache}: ${text}\n`,
   )
 }
 
-const codes = await Promise.all(routers.map((router) => router.stop()))
-await standIns.stop()
-say(`Routers stopped with exit codes ${codes.join(' and ')}.`)
+const codes = await sample.stop()
+process.stdout.write(
+  `Routers stopped with exit codes ${codes.join(' and ')}.\n`,
+)
 process.exitCode = codes.every((code) => code === 0) ? 0 : 1
--- /dev/null
+++ b/playground/onboarding/src/node/signOff.ts
@@ -0,0 +1,35 @@
+import { randomUUID } from 'node:crypto'
+import { VERDICT_HEADER } from '@auburnbay/core'
+import { requestJson } from '@auburnbay/http-utils'
+
+const TIMEOUT_MS = 10_000
+
+/** A sign-off as its supervisor sends it. */
+export interface SignOff {
+  readonly starter: string
+  readonly step: string
+  /** Keeps a repeated call from running twice. @default a new key */
+  readonly idempotencyKey?: string
+}
+
+/** Sends a sign-off, which must run at most once, and returns the HTTP status. */
+export async function sendSignOff(
+  url: string,
+  key: string,
+  signOff: SignOff,
+): Promise<number> {
+  const { idempotencyKey = randomUUID(), ...body } = signOff
+  const reply = await requestJson({
+    method: 'POST',
+    url: `${url}/v1/services/records/sign-offs`,
+    headers: {
+      authorization: `Bearer ${key}`,
+      'idempotency-key': idempotencyKey,
+    },
+    body,
+    timeoutMs: TIMEOUT_MS,
+  })
+  if (reply.isOk()) return reply.value.status
+  const hint = `look at ${VERDICT_HEADER} before sending it again`
+  throw new Error(`${reply.error.message}; ${hint}`)
+}
--- a/playground/corrib/src/node/streamChat.ts
+++ b/playground/shared/src/node/streamChat.ts
@@ -26,14 +26,23 @@
   return words.join('').trim()
 }
 
-/** Asks a router for a briefing and reads the whole stream. */
-export function streamChat(
-  url: string,
-  key: string,
-  prompt: string,
-): Promise<ChatAnswer> {
+/** One request of a chat. */
+export interface ChatCall {
+  /** URL of a router's listener for callers. */
+  readonly url: string
+  readonly key: string
+  readonly service: string
+  readonly chat: string
+  /** Kind of the request, which rules rank. */
+  readonly kind: string
+  readonly prompt: string
+}
+
+/** Sends a streamed request and reads the whole answer. */
+export function streamChat(call: ChatCall): Promise<ChatAnswer> {
+  const { url, key, service, chat, kind, prompt } = call
   const body = JSON.stringify({
-    model: 'briefing',
+    model: service,
     stream: true,
     messages: [{ role: 'user', content: prompt }],
   })
@@ -43,8 +52,8 @@
       headers: {
         authorization: `Bearer ${key}`,
         'content-type': 'application/json',
-        [CHAT_HEADER]: 'voyage-17',
-        [REQUEST_KIND_HEADER]: 'route-briefing',
+        [CHAT_HEADER]: chat,
+        [REQUEST_KIND_HEADER]: kind,
       },
     })
     req.on('error', reject)
