Measure the path and the control work of a router

Change: npm run measure -- control runs three routers as processes before 13 engines: time to first byte and throughput against direct calls and a bare forwarder, control bytes by purpose, processor time, memory.

--- /dev/null
+++ b/packages/measure/src/node/control/controlMeasures.ts
@@ -0,0 +1,24 @@
+import type { MeasureGroup } from '../measureGroup.js'
+import { createStatsReader } from './createStatsReader.js'
+import { measureControlWork } from './measureControlWork.js'
+import { measurePath } from './measurePath.js'
+import { startControlFleet } from './startControlFleet.js'
+
+const ROUTER_PROCESSES = 3
+
+/** Figures of the path through a router and of its control work. */
+export const controlMeasures: MeasureGroup = {
+  name: 'control',
+  run: async () => {
+    const stats = await createStatsReader()
+    const fleet = await startControlFleet(ROUTER_PROCESSES, stats)
+    try {
+      // The path comes first, so that the idle router's code is compiled.
+      const path = await measurePath(fleet)
+      return [...path, ...(await measureControlWork(fleet, stats))]
+    } finally {
+      await fleet.stop()
+      stats.close()
+    }
+  },
+}
--- /dev/null
+++ b/packages/measure/src/node/control/startControlFleet.ts
@@ -0,0 +1,134 @@
+import { mkdtempSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { createCallerKey } from '@auburnbay/core'
+import type { DaemonAddresses, Settings } from '@auburnbay/daemon'
+import { formatAddress, requestJson } from '@auburnbay/http-utils'
+import {
+  createEngine,
+  createLogService,
+  createVmList,
+  type EngineStandIn,
+  type ReadyProcess,
+  startProcess,
+  type VmListStandIn,
+} from '@auburnbay/stand-ins'
+import { ENGINES } from './constants.js'
+import type { StatsReader } from './createStatsReader.js'
+
+type RouterProcess = ReadyProcess<{ readonly addresses: DaemonAddresses }>
+
+/** Routers as processes of their own, and the platform they need. */
+export interface ControlFleet {
+  readonly routers: readonly RouterProcess[]
+  readonly engines: readonly EngineStandIn[]
+  readonly callerKey: string
+  /** Makes the VM list show so many routers. */
+  showRouters(count: number): void
+  stop(): Promise<void>
+}
+
+const TOKEN = 'measure-admin-token-0123456789'
+const METRICS_MS = 100
+const CALL_TIMEOUT_MS = 10_000
+const daemonUrl = new URL('bin.js', import.meta.resolve('@auburnbay/daemon'))
+
+function listRouters(
+  vmList: VmListStandIn,
+  routers: readonly RouterProcess[],
+): void {
+  vmList.vms = routers.map(({ ready }, index) => ({
+    id: `router-${index + 1}`,
+    role: 'router',
+    address: formatAddress(ready.addresses.peers),
+    dataCentre: 'dc-1',
+    state: 'live',
+  }))
+}
+
+async function configure(
+  admin: string,
+  engines: readonly EngineStandIn[],
+): Promise<string> {
+  const key = createCallerKey('corrib', 'measure')
+  const add = (path: string, value: unknown) => ({ op: 'add', path, value })
+  const service = 'briefing'
+  const operations = [
+    add('/customers/corrib', { keys: { measure: key.stored } }),
+    add('/services/briefing', { kind: 'model' }),
+    ...engines.map((engine, index) => {
+      const address = formatAddress(engine.address)
+      const value = { service, address, dataCentre: 'dc-1' }
+      return add(`/targets/engine-${index + 1}`, value)
+    }),
+  ]
+  const reply = await requestJson({
+    method: 'POST',
+    url: `http://${admin}/config/patches`,
+    headers: { authorization: `Bearer ${TOKEN}` },
+    body: { baseVersion: 0, operations },
+    timeoutMs: CALL_TIMEOUT_MS,
+  })
+  if (reply.isErr() || reply.value.status !== 200)
+    throw new Error(`the configuration was refused: ${JSON.stringify(reply)}`)
+  return key.text
+}
+
+/** Starts `count` routers with default settings; the first reports to `stats`. */
+export async function startControlFleet(
+  count: number,
+  stats: StatsReader,
+): Promise<ControlFleet> {
+  const log = await createLogService()
+  const vmList = await createVmList()
+  const engines: EngineStandIn[] = []
+  for (let index = 0; index < ENGINES; index += 1)
+    engines.push(await createEngine({ words: 1 }))
+  const folder = mkdtempSync(join(tmpdir(), 'auburnbay-measure-'))
+  const anyPort = { host: '127.0.0.1', port: 0 }
+
+  function writeSettings(id: string, reports: boolean): string {
+    const settings: Settings = {
+      router: { id, dataCentre: 'dc-1' },
+      listen: { callers: anyPort, peers: anyPort, admin: anyPort },
+      logService: { url: log.url },
+      vmList: { url: vmList.url },
+      secrets: {
+        peer: 'measure-peer-secret-0123456789',
+        hint: 'measure-hint-secret-0123456789',
+        admin: TOKEN,
+      },
+      logs: { level: 0 },
+      stopping: { balancerDelayMs: 0 },
+      ...(reports
+        ? { metrics: { ...anyPort, port: stats.port, everyMs: METRICS_MS } }
+        : {}),
+    }
+    const path = join(folder, `${id}.json`)
+    writeFileSync(path, JSON.stringify(settings))
+    return path
+  }
+
+  const routers: RouterProcess[] = []
+  for (let index = 0; index < count; index += 1) {
+    const path = writeSettings(`router-${index + 1}`, index === 0)
+    routers.push(await startProcess(daemonUrl.href, ['--settings', path]))
+  }
+  const [first] = routers
+  if (!first) throw new Error('no router was started')
+  listRouters(vmList, [first])
+  const admin = formatAddress(first.ready.addresses.admin)
+  return {
+    routers,
+    engines,
+    callerKey: await configure(admin, engines),
+    showRouters: (shown) => {
+      listRouters(vmList, routers.slice(0, shown))
+    },
+    stop: async () => {
+      await Promise.all(routers.map((router) => router.stop()))
+      const standIns = [log, vmList, ...engines]
+      await Promise.all(standIns.map((standIn) => standIn.close()))
+    },
+  }
+}
--- a/packages/measure/src/node/measureGroups.ts
+++ b/packages/measure/src/node/measureGroups.ts
@@ -1,3 +1,4 @@
+import { controlMeasures } from './control/controlMeasures.js'
 import { limitsMeasures } from './limits/limitsMeasures.js'
 import type { MeasureGroup } from './measureGroup.js'
 import { routingMeasures } from './routing/routingMeasures.js'
@@ -6,4 +7,5 @@
 export const measureGroups: readonly MeasureGroup[] = [
   routingMeasures,
   limitsMeasures,
+  controlMeasures,
 ]
--- a/playground/shared/src/node/childProcess.ts
+++ b/packages/stand-ins/src/node/process/startProcess.ts
@@ -15,7 +15,7 @@
   moduleUrl: string,
   args: readonly string[],
 ): Promise<ReadyProcess<T>> {
-  const child = fork(fileURLToPath(moduleUrl), args)
+  const child = fork(fileURLToPath(moduleUrl), [...args])
   const ready = await new Promise<T>((resolve, reject) => {
     child.once('message', (message) => {
       resolve(message as T)
--- a/playground/shared/src/node/startSample.ts
+++ b/playground/shared/src/node/startSample.ts
@@ -3,7 +3,7 @@
 import { createCallerKey } from '@auburnbay/core'
 import type { DaemonAddresses } from '@auburnbay/daemon'
 import { formatAddress, requestJson } from '@auburnbay/http-utils'
-import { type ReadyProcess, startProcess } from './childProcess.js'
+import { type ReadyProcess, startProcess } from '@auburnbay/stand-ins'
 import { type SampleTargets, startStandIns } from './startStandIns.js'
 import { createSettingsWriter } from './writeRouterSettings.js'
 
--- a/playground/shared/src/node/startStandIns.ts
+++ b/playground/shared/src/node/startStandIns.ts
@@ -1,5 +1,5 @@
 import { formatAddress, type ListenAddress } from '@auburnbay/http-utils'
-import { type ReadyProcess, startProcess } from './childProcess.js'
+import { type ReadyProcess, startProcess } from '@auburnbay/stand-ins'
 
 /** Targets of one service of a sample. */
 export interface SampleTargets {
