--- /dev/null
+++ b/packages/core/src/node/configuration/jsonOperation.ts
@@ -0,0 +1,8 @@
+/** One operation of a JSON Patch (RFC 6902), as read from the log. */
+export interface JsonOperation {
+  readonly op: string
+  readonly path: string
+  /** Source of a move or copy. */
+  readonly from?: unknown
+  readonly value?: unknown
+}
--- a/packages/daemon/src/node/admin/configurationWriter.ts
+++ b/packages/daemon/src/node/admin/configurationWriter.ts
@@ -20,7 +20,7 @@
 import { refuse } from './adminReplies.js'
 import type { AdminReply } from './adminRoute.js'
 import { type HistoryEntry, readHistory } from './configurationHistory.js'
-import { submitPatch } from './submitPatch.js'
+import { SubmissionKind, submitPatch } from './submitPatch.js'
 
 /** A change as an operator asks for it. */
 export interface ChangeRequest {
@@ -117,12 +117,8 @@
   async function toResult(
     actor: Actor,
     record: PatchRecord,
-    outcome: PatchOutcome | undefined,
+    outcome: PatchOutcome,
   ): Promise<Result<PatchOutcome, AdminReply>> {
-    const { patchId } = record
-    const message = `the log has not confirmed the patch, which may come into force; ask for GET /config/patches/${patchId}`
-    if (!outcome)
-      return err(refuse(AdminErrorCode.Unknown, message, { patchId }))
     switch (outcome.kind) {
       case PatchOutcomeKind.Applied:
       case PatchOutcomeKind.Duplicate:
@@ -148,7 +144,15 @@
       record.baseVersion <= state.version &&
       expected.kind !== PatchOutcomeKind.Applied
     if (decided) return toResult(actor, record, expected)
-    return toResult(actor, record, await submitPatch(log, tailer, record))
+    const submission = await submitPatch(log, tailer, record)
+    if (submission.kind === SubmissionKind.Decided)
+      return toResult(actor, record, submission.outcome)
+    const { patchId } = record
+    const code =
+      submission.kind === SubmissionKind.NotAppended
+        ? AdminErrorCode.LogUnavailable
+        : AdminErrorCode.Unknown
+    return err(refuse(code, submission.message, { patchId }))
   }
 
   return {
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -9,24 +9,23 @@
 import { createWaitingRouting } from './admission/createWaitingRouting.js'
 import { createCallerServer } from './callers/createCallerServer.js'
 import { createDispatcher } from './callers/createDispatcher.js'
+import { configurationPeers } from './configuration/configurationPeers.js'
 import { createConfigurationTailer } from './configuration/createConfigurationTailer.js'
+import { describeConfiguration } from './configuration/describeConfiguration.js'
 import { createTargetHealth } from './health/createTargetHealth.js'
 import { createWatchedTargets } from './health/createWatchedTargets.js'
 import { createRetries } from './limits/createRetries.js'
 import { createLogClient } from './logService/createLogClient.js'
 import { createLogs } from './logging/createLogs.js'
+import { createIncarnation } from './membership/createIncarnation.js'
 import { createMembership } from './membership/createMembership.js'
 import { createVmListPoller } from './membership/createVmListPoller.js'
-import { createAgents } from './security/createAgents.js'
-import { createCertificates } from './security/createCertificates.js'
-import { ControlPurpose } from './metrics/controlPurpose.js'
-import { DEFAULT_METRICS_MS } from './metrics/constants.js'
+import { createNetwork } from './security/createNetwork.js'
 import { createMetricsReporter } from './metrics/createMetricsReporter.js'
-import { createTrafficMeter } from './metrics/createTrafficMeter.js'
 import { createMetrics } from './metrics/createMetrics.js'
-import { createPeerClient } from './peers/createPeerClient.js'
 import { createPeerServer } from './peers/createPeerServer.js'
 import type { Heartbeat } from './peers/heartbeat.js'
+import type { PeerHandlers } from './peers/peerApi.js'
 import { createRouting } from './routing/createRouting.js'
 import type { ResolvedSettings } from './settings/settingsSchema.js'
 import { createLoadReporter } from './targets/createLoadReporter.js'
@@ -66,24 +65,31 @@
   const logger = logs.part('daemon')
   const metrics = createMetrics(settings)
   const tracing = createTracing(settings, parts.spanProcessors)
-  const certificates = createCertificates(
-    settings.certificates.pollMs,
-    logs.part('certificates'),
-  )
   const now = (): number => performance.now()
-  const incarnation = randomUUID()
+  const incarnation = createIncarnation(Date.now(), randomUUID())
   let stopping = false
 
-  const traffic = createTrafficMeter()
-  const agents = createAgents(settings, certificates, traffic)
+  const network = createNetwork(settings, logs.part('network'))
+  const { agents, certificates, peerClient } = network
   const log = createLogClient(settings.logService.url, agents.log)
-  const tailer = createConfigurationTailer(log, logs.part('configuration'))
+  const tailer = createConfigurationTailer({
+    log,
+    logger: logs.part('configuration'),
+    metrics,
+    router: settings.router,
+    retentionMs: settings.logService.retentionMs,
+    peers: () => configurationPeers(membership.livePeers()),
+    fetch: (address, since) => peerClient.configurationSince(address, since),
+    nowMs: Date.now,
+  })
   const configuration = () => tailer.state.configuration
-  const vmList = createVmListPoller(
-    settings.vmList,
-    logs.part('membership'),
-    agents.vmList,
-  )
+  const vmList = createVmListPoller({
+    settings: settings.vmList,
+    logger: logs.part('membership'),
+    metrics,
+    now,
+    agent: agents.vmList,
+  })
   const vms = () => vmList.vms
 
   const addressesOfTargets = () =>
@@ -123,6 +129,8 @@
     incarnation,
     dataCentre: settings.router.dataCentre,
     configurationVersion: tailer.state.version,
+    configuration: describeConfiguration(tailer),
+    leaving: vmList.leaving(),
     stopping,
     digest: {
       targets: routing.ownInFlight(),
@@ -130,31 +138,25 @@
       ...admission.ratesByCustomer(),
     },
   })
-  const peerClient = createPeerClient(
-    settings.secrets.peer,
-    agents.peers,
-    settings.listen.peers.tls ? 'https' : 'http',
-  )
   const membership = createMembership({
     settings,
     client: peerClient,
     vms,
+    hearLeaving: (ages) => {
+      vmList.hearLeaving(ages)
+    },
+    logger: logs.part('membership'),
     self,
     now,
   })
-  const onHeartbeat = (heartbeat: Heartbeat): Heartbeat => {
-    membership.heard(heartbeat)
-    return self()
-  }
-  const handlers = { onHeartbeat }
-  const peerServer = await createPeerServer(
-    settings,
-    handlers,
-    certificates,
-    (socket) => {
-      traffic.track(ControlPurpose.Peers, socket)
+  const handlers: PeerHandlers = {
+    onHeartbeat: (heartbeat) => {
+      membership.heard(heartbeat)
+      return self()
     },
-  )
+    onConfigurationSince: (since) => tailer.transfer(since),
+  }
+  const peerServer = await createPeerServer(settings, handlers, network)
 
   const targets = createWatchedTargets(
     createTargetClient(settings.targets, agents.toTargets),
@@ -195,12 +197,12 @@
     certificates,
   })
   const metricsReporter = createMetricsReporter({
+    settings,
     metrics,
-    traffic,
-    targets: () => routing.status(),
-    version: () => tailer.state.version,
-    livePeers: () => membership.livePeers().length,
-    everyMs: settings.metrics?.everyMs ?? DEFAULT_METRICS_MS,
+    traffic: network.traffic,
+    routing,
+    tailer,
+    membership,
   })
   const addresses = {
     callers: callers.address,
--- a/packages/daemon/src/node/metrics/createMetricsReporter.ts
+++ b/packages/daemon/src/node/metrics/createMetricsReporter.ts
@@ -1,18 +1,21 @@
-import type { TargetStatus } from '../routing/routing.js'
+import type { ConfigurationTailer } from '../configuration/createConfigurationTailer.js'
+import type { Membership } from '../membership/createMembership.js'
+import type { Routing, TargetStatus } from '../routing/routing.js'
+import type { ResolvedSettings } from '../settings/settingsSchema.js'
 import { createLoop, type Loop } from '../tasks/createLoop.js'
+import { DEFAULT_METRICS_MS } from './constants.js'
 import { ControlPurpose } from './controlPurpose.js'
 import type { TrafficMeter } from './createTrafficMeter.js'
 import type { Metrics } from './metrics.js'
 
 /** What is reported at intervals. */
 export interface MetricsReporterOptions {
+  readonly settings: Pick<ResolvedSettings, 'metrics'>
   readonly metrics: Metrics
   readonly traffic: TrafficMeter
-  readonly targets: () => readonly TargetStatus[]
-  readonly version: () => number
-  readonly livePeers: () => number
-  /** Milliseconds between two reports. */
-  readonly everyMs: number
+  readonly routing: Pick<Routing, 'status'>
+  readonly tailer: ConfigurationTailer
+  readonly membership: Pick<Membership, 'livePeers'>
 }
 
 /** Returns the highest load over the mean load; 1 while nothing runs. */
@@ -36,7 +39,7 @@
 
 /** Starts reporting gauges and the control traffic. */
 export function createMetricsReporter(options: MetricsReporterOptions): Loop {
-  const { metrics, traffic, targets, version, livePeers } = options
+  const { metrics, traffic, routing, tailer, membership } = options
   let before = traffic.bytes()
 
   function reportTraffic(): void {
@@ -49,7 +52,7 @@
   }
 
   function reportLoads(): void {
-    for (const [service, statuses] of byService(targets())) {
+    for (const [service, statuses] of byService(routing.status())) {
       const loads = statuses.map((status) => status.load)
       metrics.gauge('load.skew', loadSkew(loads), { service })
       for (const { id, load, bound } of statuses) {
@@ -63,11 +66,11 @@
     () => {
       reportTraffic()
       reportLoads()
-      metrics.gauge('configuration.version', version())
-      metrics.gauge('peers.live', livePeers())
+      metrics.gauge('configuration.version', tailer.state.version)
+      metrics.gauge('peers.live', membership.livePeers().length)
       return Promise.resolve()
     },
-    options.everyMs,
+    options.settings.metrics?.everyMs ?? DEFAULT_METRICS_MS,
     () => undefined,
   )
 }
--- a/packages/daemon/src/node/peers/createPeerServer.ts
+++ b/packages/daemon/src/node/peers/createPeerServer.ts
@@ -1,7 +1,8 @@
 import type { Socket } from 'node:net'
 import { closeServer, listen, type ListenAddress } from '@auburnbay/http-utils'
 import { createHTTPHandler } from '@trpc/server/adapters/standalone'
-import type { Certificates } from '../security/createCertificates.js'
+import { ControlPurpose } from '../metrics/controlPurpose.js'
+import type { Network } from '../security/createNetwork.js'
 import type { ResolvedSettings } from '../settings/settingsSchema.js'
 import { createPeerApi, type PeerHandlers } from './peerApi.js'
 import { PEER_SECRET_HEADER, secretsMatch } from './peerSecret.js'
@@ -16,8 +17,7 @@
 export async function createPeerServer(
   settings: ResolvedSettings,
   handlers: PeerHandlers,
-  certificates: Certificates,
-  onConnection: (socket: Socket) => void,
+  network: Pick<Network, 'certificates' | 'traffic'>,
 ): Promise<PeerServer> {
   const handler = createHTTPHandler({
     router: createPeerApi(handlers),
@@ -29,8 +29,10 @@
     }),
   })
   const { tls } = settings.listen.peers
-  const server = certificates.createServer({}, handler, tls)
-  server.on('connection', onConnection)
+  const server = network.certificates.createServer({}, handler, tls)
+  server.on('connection', (socket: Socket) => {
+    network.traffic.track(ControlPurpose.Peers, socket)
+  })
   const address = await listen(server, settings.listen.peers)
   return {
     address,
