--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -1,14 +1,12 @@
 import { randomUUID } from 'node:crypto'
 import { performance } from 'node:perf_hooks'
 import { setTimeout as sleep } from 'node:timers/promises'
-import type { SpanProcessor } from '@opentelemetry/sdk-trace-base'
-import type { ListenAddress } from '@auburnbay/http-utils'
 import { createAdminServer } from './admin/createAdminServer.js'
-import type { Admission } from './admission/admission.js'
 import { createFleetAdmission } from './admission/createFleetAdmission.js'
 import { createWaitingRouting } from './admission/createWaitingRouting.js'
 import { createCallerServer } from './callers/createCallerServer.js'
 import { createDispatcher } from './callers/createDispatcher.js'
+import type { Daemon, DaemonParts } from './daemon.js'
 import { configurationPeers } from './configuration/configurationPeers.js'
 import { createConfigurationTailer } from './configuration/createConfigurationTailer.js'
 import { describeConfiguration } from './configuration/describeConfiguration.js'
@@ -26,35 +24,15 @@
 import { createPeerServer } from './peers/createPeerServer.js'
 import type { Heartbeat } from './peers/heartbeat.js'
 import type { PeerHandlers } from './peers/peerApi.js'
+import { chatKey } from './routing/chatKey.js'
 import { createRouting } from './routing/createRouting.js'
 import type { ResolvedSettings } from './settings/settingsSchema.js'
+import { createCacheEventReader } from './targets/createCacheEventReader.js'
 import { createLoadReporter } from './targets/createLoadReporter.js'
 import { createTargetClient } from './targets/createTargetClient.js'
 import { createTracing } from './tracing/createTracing.js'
 
-/** The addresses a daemon has taken. */
-export interface DaemonAddresses {
-  readonly callers: ListenAddress
-  readonly peers: ListenAddress
-  readonly admin: ListenAddress
-}
-
-/** Parts that replace or extend the daemon's own. */
-export interface DaemonParts {
-  /** Take every span besides the exporter of the settings. */
-  readonly spanProcessors?: SpanProcessor[]
-}
-
-/** A running router. */
-export interface Daemon {
-  readonly addresses: DaemonAddresses
-  /** Requests that run and that wait. */
-  readonly load: Pick<Admission, 'running' | 'waiting'>
-  /** Stops gracefully: no request in flight is cut off. */
-  stop(): Promise<void>
-  /** Takes renewed certificates into use at once. */
-  readonly reloadCertificates: () => void
-}
+export type { Daemon, DaemonAddresses, DaemonParts } from './daemon.js'
 
 /** Starts a router; rejects when an address is in use. */
 export async function createDaemon(
@@ -92,17 +70,6 @@
   })
   const vms = () => vmList.vms
 
-  const addressesOfTargets = () =>
-    Object.entries(configuration().targets).map(([id, { address }]) => ({
-      id,
-      address,
-    }))
-  const reporter = createLoadReporter(
-    addressesOfTargets,
-    settings.targets.reportMs,
-    now,
-    agents.loads,
-  )
   const health = createTargetHealth({
     settings: settings.health,
     configuration,
@@ -112,7 +79,32 @@
   })
   const eligible = (targetId: string, idempotent: boolean) =>
     health.eligible(targetId, idempotent)
-  const routing = createRouting({ configuration, vms, reporter, eligible })
+  const routing = createRouting({
+    settings,
+    incarnation,
+    configuration,
+    vms,
+    membership: () => membership,
+    client: peerClient,
+    reporter: () => reporter,
+    cacheEvents: () => cacheEvents,
+    eligible,
+    metrics,
+    now,
+  })
+  const reporter = createLoadReporter(
+    () => routing.homeTargets(),
+    settings.targets.reportMs,
+    now,
+    agents.loads,
+  )
+  const cacheEvents = createCacheEventReader({
+    targets: () => routing.homeTargets(),
+    everyMs: settings.targets.reportMs,
+    maxChats: settings.routing.indexedChats,
+    keyOf: chatKey,
+    agent: agents.cacheEvents,
+  })
   const admission = createFleetAdmission({
     settings,
     configuration,
@@ -155,6 +147,8 @@
       return self()
     },
     onConfigurationSince: (since) => tailer.transfer(since),
+    onGrant: (ask) => routing.onGrant(ask),
+    onCollect: (ask) => routing.onCollect(ask),
   }
   const peerServer = await createPeerServer(settings, handlers, network)
 
@@ -226,7 +220,9 @@
     ])
     await Promise.all([
       admin.stop(),
+      routing.stop(),
       reporter.stop(),
+      cacheEvents.stop(),
       vmList.stop(),
       membership.stop(),
       admission.stop(),
--- a/packages/daemon/src/node/metrics/controlPurpose.ts
+++ b/packages/daemon/src/node/metrics/controlPurpose.ts
@@ -7,4 +7,6 @@
   VmList = 'vm-list',
   /** Polls of the targets' load. */
   Loads = 'loads',
+  /** Reads of the engines' cache events. */
+  CacheEvents = 'cache-events',
 }
--- a/packages/daemon/src/node/peers/peerApi.ts
+++ b/packages/daemon/src/node/peers/peerApi.ts
@@ -4,6 +4,13 @@
   configurationSinceSchema,
   type ConfigurationTransfer,
 } from '../configuration/configurationTransfer.js'
+import type {
+  CollectAsk,
+  CollectReply,
+  GrantAsk,
+  GrantReply,
+} from '@auburnbay/core'
+import { collectAskSchema, grantAskSchema } from './grantSchemas.js'
 import { type Heartbeat, heartbeatSchema } from './heartbeat.js'
 
 /** What a call between routers knows of its sender. */
@@ -18,6 +25,10 @@
   onConfigurationSince(
     since: ConfigurationSince,
   ): ConfigurationTransfer | undefined
+  /** Takes a request for places as the home of its group. */
+  onGrant(ask: GrantAsk): GrantReply
+  /** Tells a new home what is in flight from here. */
+  onCollect(ask: CollectAsk): CollectReply
 }
 
 /** Creates the procedures that routers offer each other. */
@@ -35,6 +46,12 @@
     configurationSince: procedure
       .input(configurationSinceSchema)
       .mutation(({ input }) => handlers.onConfigurationSince(input)),
+    grant: procedure
+      .input(grantAskSchema)
+      .mutation(({ input }) => handlers.onGrant(input)),
+    collect: procedure
+      .input(collectAskSchema)
+      .mutation(({ input }) => handlers.onCollect(input)),
   })
 }
 
--- a/packages/daemon/src/node/security/createAgents.ts
+++ b/packages/daemon/src/node/security/createAgents.ts
@@ -10,6 +10,7 @@
   readonly log: Agent
   readonly vmList: Agent
   readonly loads: Agent
+  readonly cacheEvents: Agent
   /** Makes an agent for requests to targets use TLS where it is set. */
   readonly toTargets: <T extends Agent>(agent: T) => T
 }
@@ -28,12 +29,16 @@
   const peers = certificates.createAgent(settings.listen.peers.tls, {
     checksName: false,
   })
-  const { Peers, Log, VmList, Loads } = ControlPurpose
+  const { Peers, Log, VmList, Loads, CacheEvents } = ControlPurpose
   return {
     peers: traffic.follow(Peers, peers),
     log: traffic.follow(Log, forUrl(settings.logService.url)),
     vmList: traffic.follow(VmList, forUrl(settings.vmList.url)),
     loads: traffic.follow(Loads, toTargets(new Agent({ keepAlive: true }))),
+    cacheEvents: traffic.follow(
+      CacheEvents,
+      toTargets(new Agent({ keepAlive: true })),
+    ),
     toTargets,
   }
 }
--- a/playground/corrib/src/node/main.ts
+++ b/playground/corrib/src/node/main.ts
@@ -1,5 +1,9 @@
+import { setTimeout as sleep } from 'node:timers/promises'
 import { startSample, streamChat } from '@auburnbay/playground-shared'
 
+/** Milliseconds that a caller reads before the next question. */
+const READING_MS = 500
+
 const sample = await startSample({
   settingsFile: new URL('../../settings.json', import.meta.url),
   configurationFile: new URL('../../configuration.json', import.meta.url),
@@ -13,6 +17,7 @@
 process.stdout.write('Configuration version 1 is in force.\n')
 
 for (const [index, url] of sample.callerUrls.entries()) {
+  await sleep(READING_MS)
   const answer = await streamChat({
     url,
     key: sample.callerKey,
