--- a/packages/daemon/src/node/__tests__/startFleet.ts
+++ b/packages/daemon/src/node/__tests__/startFleet.ts
@@ -19,7 +19,8 @@
   type StandIn,
   type VmListStandIn,
 } from '@auburnbay/stand-ins'
-import { createDaemon, type Daemon, type DaemonParts } from '../createDaemon.js'
+import { createDaemon } from '../createDaemon.js'
+import type { Daemon, DaemonParts } from '../daemon.js'
 import { resolveSettings } from '../settings/resolveSettings.js'
 import type { Settings } from '../settings/settingsSchema.js'
 
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -6,10 +6,11 @@
 import { createWaitingRouting } from './admission/createWaitingRouting.js'
 import { createCallerServer } from './callers/createCallerServer.js'
 import { createDispatcher } from './callers/createDispatcher.js'
-import type { Daemon, DaemonParts } from './daemon.js'
 import { configurationPeers } from './configuration/configurationPeers.js'
+import { createClaims } from './claims/createClaims.js'
 import { createConfigurationTailer } from './configuration/createConfigurationTailer.js'
 import { describeConfiguration } from './configuration/describeConfiguration.js'
+import type { Daemon, DaemonParts } from './daemon.js'
 import { createTargetHealth } from './health/createTargetHealth.js'
 import { createWatchedTargets } from './health/createWatchedTargets.js'
 import { createRetries } from './limits/createRetries.js'
@@ -28,11 +29,14 @@
 import { createRouting } from './routing/createRouting.js'
 import type { ResolvedSettings } from './settings/settingsSchema.js'
 import { createCacheEventReader } from './targets/createCacheEventReader.js'
+import { stopCallers } from './stopping/stopCallers.js'
+import type { StopOutcome } from './stopping/stopOutcome.js'
 import { createLoadReporter } from './targets/createLoadReporter.js'
 import { createTargetClient } from './targets/createTargetClient.js'
 import { createTracing } from './tracing/createTracing.js'
 
-export type { Daemon, DaemonAddresses, DaemonParts } from './daemon.js'
+/** Milliseconds that a router's parts may take to stop once no caller waits. */
+const STOP_PARTS_MS = 5_000
 
 /** Starts a router; rejects when an address is in use. */
 export async function createDaemon(
@@ -46,6 +50,7 @@
   const now = (): number => performance.now()
   const incarnation = createIncarnation(Date.now(), randomUUID())
   let stopping = false
+  let stopped: Promise<StopOutcome> | undefined
 
   const network = createNetwork(settings, logs.part('network'))
   const { agents, certificates, peerClient } = network
@@ -156,8 +161,15 @@
     createTargetClient(settings.targets, agents.toTargets),
     health,
   )
+  const claims = createClaims({
+    settings: settings.claims,
+    log,
+    logger: logs.part('claims'),
+    now: Date.now,
+  })
   const dispatcher = createDispatcher({
     admission,
+    claims,
     routing: createWaitingRouting({
       routing,
       admission,
@@ -207,35 +219,30 @@
     `Listening for callers on ${callers.address.host}:${callers.address.port}.`,
   )
 
-  async function stop(): Promise<void> {
-    if (stopping) return
+  async function stopOnce(): Promise<StopOutcome> {
     stopping = true
     logger.info('Stopping; readiness now fails.')
-    await sleep(settings.stopping.balancerDelayMs)
-    callers.refuseNew()
-    const drained = callers.close()
-    await Promise.race([
-      drained,
-      sleep(settings.stopping.drainTimeoutMs, undefined, { ref: false }),
-    ])
-    await Promise.all([
-      admin.stop(),
-      routing.stop(),
-      reporter.stop(),
-      cacheEvents.stop(),
-      vmList.stop(),
-      membership.stop(),
-      admission.stop(),
-      tailer.stop(),
-      peerServer.stop(),
-      certificates.stop(),
-      metricsReporter.stop(),
-    ])
+    const outcome = await stopCallers(callers, settings.stopping, logger)
+    const readers = [reporter, cacheEvents, vmList, tailer, claims]
+    const servers = [admin, peerServer]
+    const tasks = [routing, membership, admission]
+    const watchers = [certificates, metricsReporter]
+    const all = [...readers, ...servers, ...tasks, ...watchers].map((part) =>
+      part.stop(),
+    )
+    const parts = Promise.all(all)
+    await Promise.race([parts, sleep(STOP_PARTS_MS, undefined, { ref: false })])
     targets.close()
     peerClient.close()
     await tracing.close()
     await metrics.close()
     logger.info('Stopped.')
+    return outcome
+  }
+
+  function stop(): Promise<StopOutcome> {
+    stopped ??= stopOnce()
+    return stopped
   }
 
   const reloadCertificates = certificates.reload
--- a/packages/daemon/src/node/daemon.ts
+++ b/packages/daemon/src/node/daemon.ts
@@ -1,6 +1,7 @@
 import type { ListenAddress } from '@auburnbay/http-utils'
 import type { SpanProcessor } from '@opentelemetry/sdk-trace-base'
 import type { Admission } from './admission/admission.js'
+import type { StopOutcome } from './stopping/stopOutcome.js'
 
 /** The addresses a daemon has taken. */
 export interface DaemonAddresses {
@@ -20,8 +21,8 @@
   readonly addresses: DaemonAddresses
   /** Requests that run and that wait. */
   readonly load: Pick<Admission, 'running' | 'waiting'>
-  /** Stops gracefully: no request in flight is cut off. */
-  stop(): Promise<void>
+  /** Stops gracefully; requests are cut off only beyond the settings' limit. */
+  stop(): Promise<StopOutcome>
   /** Takes renewed certificates into use at once. */
   readonly reloadCertificates: () => void
 }
--- a/packages/daemon/src/node/security/__tests__/startTlsRouter.ts
+++ b/packages/daemon/src/node/security/__tests__/startTlsRouter.ts
@@ -1,5 +1,6 @@
 import { createLogService, createVmList } from '@auburnbay/stand-ins'
-import { createDaemon, type Daemon } from '../../createDaemon.js'
+import { createDaemon } from '../../createDaemon.js'
+import type { Daemon } from '../../daemon.js'
 import { resolveSettings } from '../../settings/resolveSettings.js'
 
 /** A router whose listeners all speak TLS. */
--- a/playground/onboarding/src/node/main.ts
+++ b/playground/onboarding/src/node/main.ts
@@ -32,13 +32,12 @@
   )
 }
 
-const idempotencyKey = 'starter-42-step-3'
+// The key begins with the time of its first use, in milliseconds.
+const idempotencyKey = `${Date.now()}-starter-42-step-3`
 for (const [index, url] of sample.callerUrls.entries()) {
   const signOff = { starter: 'starter-42', step: '3', idempotencyKey }
   const status = await sendSignOff(url, sample.callerKey, signOff)
-  process.stdout.write(
-    `router-${index + 1}: sign-off with key ${idempotencyKey}: ${status}\n`,
-  )
+  process.stdout.write(`router-${index + 1}: sign-off: ${status}\n`)
 }
 
 const codes = await sample.stop()
--- a/playground/onboarding/src/node/signOff.ts
+++ b/playground/onboarding/src/node/signOff.ts
@@ -1,4 +1,3 @@
-import { randomUUID } from 'node:crypto'
 import { VERDICT_HEADER } from '@auburnbay/core'
 import { requestJson } from '@auburnbay/http-utils'
 
@@ -8,8 +7,8 @@
 export interface SignOff {
   readonly starter: string
   readonly step: string
-  /** Keeps a repeated call from running twice. @default a new key */
-  readonly idempotencyKey?: string
+  /** Keeps a repeated call from running twice. */
+  readonly idempotencyKey: string
 }
 
 /** Sends a sign-off, which must run at most once, and returns the HTTP status. */
@@ -18,7 +17,7 @@
   key: string,
   signOff: SignOff,
 ): Promise<number> {
-  const { idempotencyKey = randomUUID(), ...body } = signOff
+  const { idempotencyKey, ...body } = signOff
   const reply = await requestJson({
     method: 'POST',
     url: `${url}/v1/services/records/sign-offs`,
