--- a/packages/daemon/src/node/membership/createMembership.ts
+++ b/packages/daemon/src/node/membership/createMembership.ts
@@ -41,8 +41,8 @@
   readonly now: () => number
 }
 
-/** Heartbeat intervals that a router waits for the call of a peer. */
-const CALL_PATIENCE = 1.5
+/** Share of the heartbeat interval within which a peer need not be asked. */
+const HEARD_LATELY = 0.75
 
 /** Starts exchanging heartbeats with the routers of the VM list. */
 export function createMembership(options: MembershipOptions): Membership {
@@ -50,39 +50,33 @@
   const { id: own, dataCentre } = settings.router
   const liveness = createPeerLiveness<Heartbeat>(settings.peers.timeoutMs)
   const calling = new Set<string>()
-  const calledAtMs = new Map<string, number>()
+  const heardAtMs = new Map<string, number>()
 
-  function take(heartbeat: Heartbeat): void {
+  function heard(heartbeat: Heartbeat): void {
     if (heartbeat.router === own) return
+    heardAtMs.set(heartbeat.router, now())
     const { router, incarnation, leaving } = heartbeat
     liveness.hear(router, incarnation, heartbeat, now())
     options.hearLeaving(leaving ?? {})
   }
 
-  function heard(heartbeat: Heartbeat): void {
-    calledAtMs.set(heartbeat.router, now())
-    take(heartbeat)
-  }
-
-  // A call carries both heartbeats, so one of the two routers calls: the one
-  // with the lower id, unless it does not (it may not have the other listed).
-  function leavesCallTo(peer: string): boolean {
-    if (peer > own) return false
-    const atMs = calledAtMs.get(peer) ?? -Infinity
-    return now() - atMs < CALL_PATIENCE * settings.peers.heartbeatMs
-  }
-
   function routers(): VmEntry[] {
     return vms().filter(
       (vm) => vm.role === VmRole.Router && vm.state === MemberState.Live,
     )
   }
 
+  // An exchange informs both sides, so one of the two begins it.
+  function heardLately(id: string): boolean {
+    const atMs = heardAtMs.get(id) ?? -Infinity
+    return now() - atMs < HEARD_LATELY * settings.peers.heartbeatMs
+  }
+
   // A silent peer must not delay the heartbeats to the others.
   async function call(vm: VmEntry): Promise<void> {
     if (calling.has(vm.id)) return
     calling.add(vm.id)
-    await client.heartbeat(vm.address, self()).then(take, () => undefined)
+    await client.heartbeat(vm.address, self()).then(heard, () => undefined)
     calling.delete(vm.id)
   }
 
@@ -99,7 +93,7 @@
     const listed = routers()
     const chosen = new Set(digestPeers({ id: own, dataCentre }, listed))
     for (const vm of listed)
-      if (chosen.has(vm.id) && !leavesCallTo(vm.id)) void call(vm)
+      if (chosen.has(vm.id) && !heardLately(vm.id)) void call(vm)
   }
 
   function livePeers(): PeerStatus[] {
--- a/packages/daemon/src/node/peers/createPeerClient.ts
+++ b/packages/daemon/src/node/peers/createPeerClient.ts
@@ -1,4 +1,4 @@
-import type { Agent } from 'node:http'
+import { Agent } from 'node:http'
 import type {
   CollectAsk,
   CollectReply,
@@ -17,6 +17,7 @@
 import type { Heartbeat } from './heartbeat.js'
 import type { PeerApi } from './peerApi.js'
 import { PEER_SECRET_HEADER } from './peerSecret.js'
+import { wireCodec } from './wireCodec.js'
 
 /** Calls other routers over kept connections. */
 export interface PeerClient {
@@ -24,23 +25,23 @@
   readonly traffic: TrafficCount
   /** Sends a heartbeat; rejects when the peer does not answer in time. */
   heartbeat(address: string, heartbeat: Heartbeat): Promise<Heartbeat>
+  /** Asks a group's home for places; rejects when it does not answer. */
+  grant(address: string, ask: GrantAsk): Promise<GrantReply>
+  /** Asks for a router's counts; rejects when it does not answer. */
+  collect(address: string, ask: CollectAsk): Promise<CollectReply>
   /** Fetches records or a snapshot; rejects when the peer has none. */
   configurationSince(
     address: string,
     since: ConfigurationSince,
   ): Promise<ConfigurationTransfer>
-  /** Asks a group's home for places; rejects when it does not answer. */
-  grant(address: string, ask: GrantAsk): Promise<GrantReply>
-  /** Asks for a router's counts; rejects when it does not answer. */
-  collect(address: string, ask: CollectAsk): Promise<CollectReply>
   close(): void
 }
 
 /** Creates the client for calls to other routers. */
 export function createPeerClient(
   secret: string,
-  agent: Agent,
-  scheme: 'http' | 'https',
+  agent: Agent = new Agent({ keepAlive: true }),
+  scheme: 'http' | 'https' = 'http',
 ): PeerClient {
   const traffic: TrafficCount = { sentBytes: 0, receivedBytes: 0 }
   const clients = new Map<string, TRPCClient<PeerApi>>()
@@ -52,6 +53,7 @@
       links: [
         httpBatchLink({
           url: `${scheme}://${address}`,
+          transformer: wireCodec,
           headers: { [PEER_SECRET_HEADER]: secret },
           fetch: createNodeFetch(agent, traffic) as typeof fetch,
         }),
@@ -67,6 +69,8 @@
     traffic,
     heartbeat: (address, heartbeat) =>
       clientOf(address).heartbeat.mutate(heartbeat, limited()),
+    grant: (address, ask) => clientOf(address).grant.mutate(ask, limited()),
+    collect: (address, ask) => clientOf(address).collect.mutate(ask, limited()),
     configurationSince: async (address, since) => {
       const signal = AbortSignal.timeout(PEER_FETCH_TIMEOUT_MS)
       const answer = await clientOf(address).configurationSince.mutate(since, {
@@ -74,8 +78,6 @@
       })
       return configurationTransferSchema.parse(answer)
     },
-    grant: (address, ask) => clientOf(address).grant.mutate(ask, limited()),
-    collect: (address, ask) => clientOf(address).collect.mutate(ask, limited()),
     close: () => {
       agent.destroy()
     },
--- a/packages/daemon/src/node/peers/createPeerServer.ts
+++ b/packages/daemon/src/node/peers/createPeerServer.ts
@@ -1,5 +1,11 @@
+import type { RequestListener } from 'node:http'
 import type { Socket } from 'node:net'
-import { closeServer, listen, type ListenAddress } from '@auburnbay/http-utils'
+import {
+  closeServer,
+  createWebServer,
+  listen,
+  type ListenAddress,
+} from '@auburnbay/http-utils'
 import { createHTTPHandler } from '@trpc/server/adapters/standalone'
 import { ControlPurpose } from '../metrics/controlPurpose.js'
 import type { Network } from '../security/createNetwork.js'
@@ -17,7 +23,8 @@
 export async function createPeerServer(
   settings: ResolvedSettings,
   handlers: PeerHandlers,
-  network: Pick<Network, 'certificates' | 'traffic'>,
+  /** Without it: plain HTTP, and no traffic is counted. */
+  network?: Pick<Network, 'certificates' | 'traffic'>,
 ): Promise<PeerServer> {
   const handler = createHTTPHandler({
     router: createPeerApi(handlers),
@@ -29,9 +36,17 @@
     }),
   })
   const { tls } = settings.listen.peers
-  const server = network.certificates.createServer({}, handler, tls)
+  const serve: RequestListener = (req, res) => {
+    // HTTP/1.1 keeps connections by default; routers need no date.
+    res.sendDate = false
+    res.removeHeader('connection')
+    handler(req, res)
+  }
+  const server = network
+    ? network.certificates.createServer({}, serve, tls)
+    : createWebServer({}, serve)
   server.on('connection', (socket: Socket) => {
-    network.traffic.track(ControlPurpose.Peers, socket)
+    network?.traffic.track(ControlPurpose.Peers, socket)
   })
   const address = await listen(server, settings.listen.peers)
   return {
