Take the kept connections back until ejection agrees

Cause: with connections truly kept, a reset on a reused one is tried again on the same target, so a failing target gets one run more than its test allows (4 for 3) and the second test of the file finds no chat.

--- a/packages/daemon/src/node/targets/connectionPool.ts
+++ b/packages/daemon/src/node/targets/connectionPool.ts
@@ -63,7 +63,9 @@
 
   private agentKeeps(socket: Duplex): boolean {
     // The declared type is void, but the agent returns whether to keep.
-    const keep: (socket: Duplex) => unknown = super.keepSocketAlive.bind(this)
+    const keep: (socket: Duplex) => unknown = (s) => {
+      super.keepSocketAlive.call(this, s)
+    }
     return keep(socket) === true
   }
 
