--- a/packages/daemon/src/node/callers/createCallerServer.ts
+++ b/packages/daemon/src/node/callers/createCallerServer.ts
@@ -9,6 +9,7 @@
 import {
   BodyError,
   closeServer,
+  createWebServer,
   listen,
   type ListenAddress,
   readBody,
@@ -44,7 +45,8 @@
   readonly tracing: Tracing
   readonly metrics: Metrics
   readonly logger: ConsolaInstance
-  readonly certificates: Certificates
+  /** Plain HTTP without it. */
+  readonly certificates?: Certificates
 }
 
 /** The listener for callers. */
@@ -64,6 +66,10 @@
   close(): Promise<void>
 }
 
+const plainServers: Pick<Certificates, 'createServer'> = {
+  createServer: (options, listener) => createWebServer(options, listener),
+}
+
 /** Starts listening for callers. */
 export async function createCallerServer(
   options: CallerServerOptions,
@@ -163,7 +169,7 @@
     }
   }
 
-  const server = options.certificates.createServer(
+  const server = (options.certificates ?? plainServers).createServer(
     {
       maxHeaderSize: settings.callers.maxHeaderBytes,
       headersTimeout: settings.callers.headersTimeoutMs,
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -6,8 +6,8 @@
 import { createWaitingRouting } from './admission/createWaitingRouting.js'
 import { createCallerServer } from './callers/createCallerServer.js'
 import { createDispatcher } from './callers/createDispatcher.js'
-import { configurationPeers } from './configuration/configurationPeers.js'
 import { createClaims } from './claims/createClaims.js'
+import { configurationPeers } from './configuration/configurationPeers.js'
 import { createConfigurationTailer } from './configuration/createConfigurationTailer.js'
 import { describeConfiguration } from './configuration/describeConfiguration.js'
 import type { Daemon, DaemonParts } from './daemon.js'
@@ -227,15 +227,15 @@
     const servers = [admin, peerServer]
     const tasks = [routing, membership, admission]
     const watchers = [certificates, metricsReporter]
-    const all = [...readers, ...servers, ...tasks, ...watchers].map((part) =>
-      part.stop(),
+    const every = [...readers, ...servers, ...tasks, ...watchers]
+    const parts = Promise.all(every.map((part) => part.stop()))
+    const closed = parts.then(() =>
+      Promise.all([tracing.close(), metrics.close()]),
     )
-    const parts = Promise.all(all)
-    await Promise.race([parts, sleep(STOP_PARTS_MS, undefined, { ref: false })])
+    const late = sleep(STOP_PARTS_MS, undefined, { ref: false })
+    await Promise.race([closed, late])
     targets.close()
     peerClient.close()
-    await tracing.close()
-    await metrics.close()
     logger.info('Stopped.')
     return outcome
   }
--- a/packages/measure/src/node/measureGroups.ts
+++ b/packages/measure/src/node/measureGroups.ts
@@ -1,6 +1,7 @@
 import { controlMeasures } from './control/controlMeasures.js'
 import { limitsMeasures } from './limits/limitsMeasures.js'
 import type { MeasureGroup } from './measureGroup.js'
+import { onceMeasures } from './once/onceMeasures.js'
 import { routingMeasures } from './routing/routingMeasures.js'
 import { stoppingMeasures } from './stopping/stoppingMeasures.js'
 
@@ -9,5 +10,6 @@
   routingMeasures,
   limitsMeasures,
   stoppingMeasures,
+  onceMeasures,
   controlMeasures,
 ]
