--- a/packages/daemon/src/node/__tests__/startFleet.ts
+++ b/packages/daemon/src/node/__tests__/startFleet.ts
@@ -20,7 +20,7 @@
   type VmListStandIn,
 } from '@auburnbay/stand-ins'
 import { createDaemon } from '../createDaemon.js'
-import type { Daemon } from '../daemon.js'
+import type { Daemon, DaemonParts } from '../daemon.js'
 import { resolveSettings } from '../settings/resolveSettings.js'
 import type { Settings } from '../settings/settingsSchema.js'
 
@@ -33,6 +33,8 @@
   readonly engine?: EngineOptions
   /** Settings on top of those of the test fleet. */
   readonly settings?: Partial<Settings>
+  /** Parts that every router gets. */
+  readonly parts?: DaemonParts
   /** Settings of one router on top of those. */
   readonly settingsOf?: (index: number) => Partial<Settings>
 }
@@ -141,7 +143,7 @@
   const addRouter = async (extra: Partial<Settings> = {}): Promise<Daemon> => {
     const settings = routerSettings(routers.length, log, vmList, extra)
     const resolved = resolveSettings(settings)._unsafeUnwrap()
-    const router = await createDaemon(resolved)
+    const router = await createDaemon(resolved, options.parts)
     routers.push(router)
     const entry: ListedVm = {
       id: resolved.router.id,
--- a/packages/daemon/src/node/callers/createCallerServer.ts
+++ b/packages/daemon/src/node/callers/createCallerServer.ts
@@ -1,8 +1,5 @@
-import {
-  createServer,
-  type IncomingMessage,
-  type ServerResponse,
-} from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import {
   type Configuration,
   FailureCode,
@@ -12,6 +9,7 @@
 import {
   BodyError,
   closeServer,
+  createWebServer,
   listen,
   type ListenAddress,
   readBody,
@@ -20,6 +18,8 @@
 import type { ConsolaInstance } from 'consola'
 import { SLOW_CALLER_CHECK_MS } from '../constants.js'
 import type { Metrics } from '../metrics/metrics.js'
+import type { Certificates } from '../security/createCertificates.js'
+import { createConnectionLimits } from '../security/createConnectionLimits.js'
 import type { ResolvedSettings } from '../settings/settingsSchema.js'
 import { Hop, type HopSpan, type Tracing } from '../tracing/createTracing.js'
 import { createActiveCalls } from './createActiveCalls.js'
@@ -45,6 +45,8 @@
   readonly tracing: Tracing
   readonly metrics: Metrics
   readonly logger: ConsolaInstance
+  /** Plain HTTP without it. */
+  readonly certificates?: Certificates
 }
 
 /** The listener for callers. */
@@ -64,11 +66,19 @@
   close(): Promise<void>
 }
 
+const plainServers: Pick<Certificates, 'createServer'> = {
+  createServer: (options, listener) => createWebServer(options, listener),
+}
+
 /** Starts listening for callers. */
 export async function createCallerServer(
   options: CallerServerOptions,
 ): Promise<CallerServer> {
   const { settings, configuration, dispatcher, tracing, logger } = options
+  const connections = createConnectionLimits({
+    maxPerAddress: settings.callers.maxConnectionsPerAddress,
+    maxPerCustomer: settings.callers.maxConnectionsPerCustomer,
+  })
   const calls = createActiveCalls()
   let refusing = false
 
@@ -96,6 +106,11 @@
       sendFailure(res, customer.error, true)
       return
     }
+    if (!connections.claim(customer.value, req.socket)) {
+      const message = `more than ${settings.callers.maxConnectionsPerCustomer} connections are open; use those again`
+      sendFailure(res, createFailure(FailureCode.LimitReached, message), true)
+      return
+    }
     const body = await readBody(req, settings.callers.maxBodyBytes)
     if (body.isErr()) {
       if (body.error === BodyError.Aborted) return
@@ -119,7 +134,7 @@
     if (result.isErr()) {
       span.set({ verdict: result.error.verdict })
       sendFailure(res, calls.cutting ? cutOff(result.error) : result.error)
-    }
+    } else span.set({ verdict: Verdict.Ran })
   }
 
   async function serve(
@@ -154,7 +169,7 @@
     }
   }
 
-  const server = createServer(
+  const server = (options.certificates ?? plainServers).createServer(
     {
       maxHeaderSize: settings.callers.maxHeaderBytes,
       headersTimeout: settings.callers.headersTimeoutMs,
@@ -164,8 +179,12 @@
     (req, res) => {
       void serve(req, res)
     },
+    settings.listen.callers.tls,
   )
   server.on('clientError', refuseBrokenRequest)
+  server.on('connection', (socket: Socket) => {
+    if (!connections.open(socket)) socket.destroy()
+  })
   const address = await listen(server, settings.listen.callers)
   return {
     address,
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import { performance } from 'node:perf_hooks'
-import { setTimeout as sleep } from 'node:timers/promises'
+import { formatAddress } from '@auburnbay/http-utils'
 import { createAdminServer } from './admin/createAdminServer.js'
 import { createFleetAdmission } from './admission/createFleetAdmission.js'
 import { createWaitingRouting } from './admission/createWaitingRouting.js'
@@ -10,7 +10,7 @@
 import { configurationPeers } from './configuration/configurationPeers.js'
 import { createConfigurationTailer } from './configuration/createConfigurationTailer.js'
 import { describeConfiguration } from './configuration/describeConfiguration.js'
-import type { Daemon } from './daemon.js'
+import type { Daemon, DaemonParts } from './daemon.js'
 import { createTargetHealth } from './health/createTargetHealth.js'
 import { createWatchedTargets } from './health/createWatchedTargets.js'
 import { createRetries } from './limits/createRetries.js'
@@ -19,39 +19,41 @@
 import { createIncarnation } from './membership/createIncarnation.js'
 import { createMembership } from './membership/createMembership.js'
 import { createVmListPoller } from './membership/createVmListPoller.js'
+import { createNetwork } from './security/createNetwork.js'
+import { createMetricsReporter } from './metrics/createMetricsReporter.js'
 import { createMetrics } from './metrics/createMetrics.js'
 import { createOrders } from './orders/createOrders.js'
-import { createPeerClient } from './peers/createPeerClient.js'
 import { createPeerServer } from './peers/createPeerServer.js'
 import type { Heartbeat } from './peers/heartbeat.js'
+import type { PeerHandlers } from './peers/peerApi.js'
 import { chatKey } from './routing/chatKey.js'
 import { createRouting } from './routing/createRouting.js'
 import type { ResolvedSettings } from './settings/settingsSchema.js'
 import { createCacheEventReader } from './targets/createCacheEventReader.js'
 import { stopCallers } from './stopping/stopCallers.js'
 import type { StopOutcome } from './stopping/stopOutcome.js'
+import { stopParts } from './stopping/stopParts.js'
 import { createLoadReporter } from './targets/createLoadReporter.js'
 import { createTargetClient } from './targets/createTargetClient.js'
 import { createTracing } from './tracing/createTracing.js'
 
-/** Milliseconds that a router's parts may take to stop once no caller waits. */
-const STOP_PARTS_MS = 5_000
-
 /** Starts a router; rejects when an address is in use. */
 export async function createDaemon(
   settings: ResolvedSettings,
+  parts: DaemonParts = {},
 ): Promise<Daemon> {
   const logs = createLogs(settings.logs)
   const logger = logs.part('daemon')
   const metrics = createMetrics(settings)
-  const tracing = createTracing(settings)
+  const tracing = createTracing(settings, parts.spanProcessors)
   const now = (): number => performance.now()
   const incarnation = createIncarnation(Date.now(), randomUUID())
   let stopping = false
   let stopped: Promise<StopOutcome> | undefined
 
-  const peerClient = createPeerClient(settings.secrets.peer)
-  const log = createLogClient(settings.logService.url)
+  const network = createNetwork(settings, logs.part('network'))
+  const { agents, certificates, peerClient } = network
+  const log = createLogClient(settings.logService.url, agents.log)
   const tailer = createConfigurationTailer({
     log,
     logger: logs.part('configuration'),
@@ -68,6 +70,7 @@
     logger: logs.part('membership'),
     metrics,
     now,
+    agent: agents.vmList,
   })
   const vms = () => vmList.vms
 
@@ -97,12 +100,14 @@
     () => routing.homeTargets(),
     settings.targets.reportMs,
     now,
+    agents.loads,
   )
   const cacheEvents = createCacheEventReader({
     targets: () => routing.homeTargets(),
     everyMs: settings.targets.reportMs,
     maxChats: settings.routing.indexedChats,
     keyOf: chatKey,
+    agent: agents.cacheEvents,
   })
   const admission = createFleetAdmission({
     settings,
@@ -149,7 +154,7 @@
     now,
     logger: logs.part('orders'),
   })
-  const peerServer = await createPeerServer(settings, {
+  const handlers: PeerHandlers = {
     onHeartbeat: (heartbeat) => {
       membership.heard(heartbeat)
       return self()
@@ -157,10 +162,11 @@
     onConfigurationSince: (since) => tailer.transfer(since),
     onGrant: (ask) => routing.onGrant(ask),
     onCollect: (ask) => routing.onCollect(ask),
-  })
+  }
+  const peerServer = await createPeerServer(settings, handlers, network)
 
   const targets = createWatchedTargets(
-    createTargetClient(settings.targets),
+    createTargetClient(settings.targets, agents.toTargets),
     health,
   )
   const claims = createClaims({
@@ -192,6 +198,7 @@
     tracing,
     metrics,
     logger: logs.part('callers'),
+    certificates,
   })
   const admin = await createAdminServer({
     settings,
@@ -201,38 +208,33 @@
     routing,
     self,
     logger: logs.part('admin'),
+    certificates,
+  })
+  const metricsReporter = createMetricsReporter({
+    settings,
+    metrics,
+    traffic: network.traffic,
+    routing,
+    tailer,
+    membership,
   })
   const addresses = {
     callers: callers.address,
     peers: peerServer.address,
     admin: admin.address,
   }
-  logger.info(
-    `Listening for callers on ${callers.address.host}:${callers.address.port}.`,
-  )
+  logger.info(`Listening for callers on ${formatAddress(callers.address)}.`)
 
   async function stopOnce(): Promise<StopOutcome> {
     stopping = true
     logger.info('Stopping; readiness now fails.')
     const outcome = await stopCallers(callers, settings.stopping, logger)
-    const parts = Promise.all([
-      admin.stop(),
-      routing.stop(),
-      reporter.stop(),
-      cacheEvents.stop(),
-      vmList.stop(),
-      membership.stop(),
-      admission.stop(),
-      orders.stop(),
-      tailer.stop(),
-      claims.stop(),
-      peerServer.stop(),
-    ])
-    const closed = parts.then(() =>
-      Promise.all([tracing.close(), metrics.close()]),
-    )
-    const late = sleep(STOP_PARTS_MS, undefined, { ref: false })
-    await Promise.race([closed, late])
+    const readers = [reporter, cacheEvents, vmList, tailer, claims]
+    const servers = [admin, peerServer]
+    const tasks = [routing, membership, admission, orders]
+    const watchers = [certificates, metricsReporter]
+    const every = [...readers, ...servers, ...tasks, ...watchers]
+    await stopParts(every, [tracing, metrics])
     targets.close()
     peerClient.close()
     logger.info('Stopped.')
@@ -244,5 +246,6 @@
     return stopped
   }
 
-  return { addresses, load: admission, stop }
+  const { reload: reloadCertificates } = certificates
+  return { addresses, load: admission, stop, reloadCertificates }
 }
--- a/packages/daemon/src/node/daemon.ts
+++ b/packages/daemon/src/node/daemon.ts
@@ -1,4 +1,5 @@
 import type { ListenAddress } from '@auburnbay/http-utils'
+import type { SpanProcessor } from '@opentelemetry/sdk-trace-base'
 import type { Admission } from './admission/admission.js'
 import type { StopOutcome } from './stopping/stopOutcome.js'
 
@@ -9,6 +10,12 @@
   readonly admin: ListenAddress
 }
 
+/** Parts that replace or extend the daemon's own. */
+export interface DaemonParts {
+  /** Take every span besides the exporter of the settings. */
+  readonly spanProcessors?: SpanProcessor[]
+}
+
 /** A running router. */
 export interface Daemon {
   readonly addresses: DaemonAddresses
@@ -16,4 +23,6 @@
   readonly load: Pick<Admission, 'running' | 'waiting'>
   /** Stops gracefully; requests are cut off only beyond the settings' limit. */
   stop(): Promise<StopOutcome>
+  /** Takes renewed certificates into use at once. */
+  readonly reloadCertificates: () => void
 }
--- a/packages/daemon/src/node/membership/createVmListPoller.ts
+++ b/packages/daemon/src/node/membership/createVmListPoller.ts
@@ -1,3 +1,4 @@
+import type { Agent } from 'node:http'
 import {
   applyVmList,
   createVmView,
@@ -30,6 +31,8 @@
   readonly logger: ConsolaInstance
   readonly metrics: Metrics
   readonly now: () => number
+  /** Agent of the calls. @default Node's own */
+  readonly agent?: Agent
 }
 
 /** Milliseconds for which a computed view is shown again. */
@@ -37,7 +40,7 @@
 
 /** Starts polling the VM list. */
 export function createVmListPoller(options: VmListPollerOptions): VmListPoller {
-  const { settings, logger, metrics, now } = options
+  const { settings, logger, metrics, now, agent } = options
   let view = createVmView()
   let shown: readonly VmEntry[] = []
   let shownAtMs = -Infinity
@@ -59,6 +62,7 @@
       method: 'GET',
       url: `${settings.url}/vms`,
       timeoutMs: VM_LIST_TIMEOUT_MS,
+      agent,
     })
     const parsed = vmListSchema.safeParse(reply.isOk() && reply.value.body)
     if (parsed.success) take(parsed.data)
--- a/packages/daemon/src/node/peers/createPeerClient.ts
+++ b/packages/daemon/src/node/peers/createPeerClient.ts
@@ -38,8 +38,11 @@
 }
 
 /** Creates the client for calls to other routers. */
-export function createPeerClient(secret: string): PeerClient {
-  const agent = new Agent({ keepAlive: true })
+export function createPeerClient(
+  secret: string,
+  agent: Agent = new Agent({ keepAlive: true }),
+  scheme: 'http' | 'https' = 'http',
+): PeerClient {
   const traffic: TrafficCount = { sentBytes: 0, receivedBytes: 0 }
   const clients = new Map<string, TRPCClient<PeerApi>>()
 
@@ -49,7 +52,7 @@
     const created = createTRPCClient<PeerApi>({
       links: [
         httpBatchLink({
-          url: `http://${address}`,
+          url: `${scheme}://${address}`,
           transformer: wireCodec,
           headers: { [PEER_SECRET_HEADER]: secret },
           fetch: createNodeFetch(agent, traffic) as typeof fetch,
--- a/packages/daemon/src/node/peers/createPeerServer.ts
+++ b/packages/daemon/src/node/peers/createPeerServer.ts
@@ -1,6 +1,14 @@
-import { createServer } from 'node:http'
-import { closeServer, listen, type ListenAddress } from '@auburnbay/http-utils'
+import type { RequestListener } from 'node:http'
+import type { Socket } from 'node:net'
+import {
+  closeServer,
+  createWebServer,
+  listen,
+  type ListenAddress,
+} from '@auburnbay/http-utils'
 import { createHTTPHandler } from '@trpc/server/adapters/standalone'
+import { ControlPurpose } from '../metrics/controlPurpose.js'
+import type { Network } from '../security/createNetwork.js'
 import type { ResolvedSettings } from '../settings/settingsSchema.js'
 import { createPeerApi, type PeerHandlers } from './peerApi.js'
 import { PEER_SECRET_HEADER, secretsMatch } from './peerSecret.js'
@@ -15,6 +23,8 @@
 export async function createPeerServer(
   settings: ResolvedSettings,
   handlers: PeerHandlers,
+  /** Without it: plain HTTP, and no traffic is counted. */
+  network?: Pick<Network, 'certificates' | 'traffic'>,
 ): Promise<PeerServer> {
   const handler = createHTTPHandler({
     router: createPeerApi(handlers),
@@ -25,11 +35,18 @@
       ),
     }),
   })
-  const server = createServer((req, res) => {
+  const { tls } = settings.listen.peers
+  const serve: RequestListener = (req, res) => {
     // HTTP/1.1 keeps connections by default; routers need no date.
     res.sendDate = false
     res.removeHeader('connection')
     handler(req, res)
+  }
+  const server = network
+    ? network.certificates.createServer({}, serve, tls)
+    : createWebServer({}, serve)
+  server.on('connection', (socket: Socket) => {
+    network?.traffic.track(ControlPurpose.Peers, socket)
   })
   const address = await listen(server, settings.listen.peers)
   return {
--- /dev/null
+++ b/packages/daemon/src/node/stopping/stopParts.ts
@@ -0,0 +1,27 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+
+/** Milliseconds that a router's parts may take to stop once no caller waits. */
+const STOP_PARTS_MS = 5_000
+
+/** A part that owns a task or a socket. */
+export interface StoppablePart {
+  stop(): unknown
+}
+
+/** A part that holds what is still to be sent. */
+export interface ClosablePart {
+  close(): Promise<void>
+}
+
+/** Stops parts and then closes exporters; gives up after `STOP_PARTS_MS`. */
+export async function stopParts(
+  parts: readonly StoppablePart[],
+  exporters: readonly ClosablePart[],
+): Promise<void> {
+  const stopped = Promise.all(parts.map(async (part) => part.stop()))
+  const closed = stopped.then(() =>
+    Promise.all(exporters.map((exporter) => exporter.close())),
+  )
+  const late = sleep(STOP_PARTS_MS, undefined, { ref: false })
+  await Promise.race([closed, late])
+}
--- a/packages/daemon/src/node/targets/createCacheEventReader.ts
+++ b/packages/daemon/src/node/targets/createCacheEventReader.ts
@@ -25,6 +25,8 @@
   readonly maxChats: number
   /** Key under which a chat is looked up. */
   readonly keyOf: (chat: string) => string
+  /** Agent of the calls. @default a new one */
+  readonly agent?: Agent
 }
 
 const replySchema = z.object({ events: z.array(cacheEventSchema) })
@@ -34,7 +36,7 @@
   options: CacheEventReaderOptions,
 ): CacheEventReader {
   const { targets, everyMs, maxChats, keyOf } = options
-  const agent = new Agent({ keepAlive: true })
+  const { agent = new Agent({ keepAlive: true }) } = options
   const index = createHintIndex(maxChats)
 
   function keyed(event: CacheEvent): CacheEvent {
--- a/packages/http-utils/src/node/createNodeFetch.ts
+++ b/packages/http-utils/src/node/createNodeFetch.ts
@@ -1,6 +1,7 @@
-import { Agent, request } from 'node:http'
+import { Agent } from 'node:http'
 import type { Socket } from 'node:net'
 import { readBody } from './readBody.js'
+import { requestUrl } from './requestUrl.js'
 
 const MAX_REPLY_BYTES = 16 * 1024 * 1024
 
@@ -45,7 +46,7 @@
   return (input, init = {}) =>
     new Promise((resolve, reject) => {
       const payload = typeof init.body === 'string' ? init.body : undefined
-      const req = request(input, {
+      const req = requestUrl(input, {
         method: init.method ?? 'GET',
         agent,
         signal: init.signal ?? undefined,
--- a/packages/measure/src/node/measureGroups.ts
+++ b/packages/measure/src/node/measureGroups.ts
@@ -1,3 +1,4 @@
+import { controlMeasures } from './control/controlMeasures.js'
 import { limitsMeasures } from './limits/limitsMeasures.js'
 import type { MeasureGroup } from './measureGroup.js'
 import { onceMeasures } from './once/onceMeasures.js'
@@ -12,4 +13,5 @@
   stateMeasures,
   stoppingMeasures,
   onceMeasures,
+  controlMeasures,
 ]
