Stop a router's parts in one place

Change: stopParts stops what owns tasks or sockets, then closes what is still to be exported, within one limit; behaviour as before.

--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -230,10 +230,9 @@
     logger.info('Stopping; readiness now fails.')
     const outcome = await stopCallers(callers, settings.stopping, logger)
     const readers = [reporter, cacheEvents, vmList, tailer, claims]
-    const servers = [admin, peerServer]
-    const tasks = [routing, membership, admission, orders]
-    const watchers = [certificates, metricsReporter]
-    const every = [...readers, ...servers, ...tasks, ...watchers]
+    const tasks = [routing, membership, admission, orders, metricsReporter]
+    const servers = [admin, peerServer, certificates]
+    const every = [...readers, ...tasks, ...servers]
     await stopParts(every, [tracing, metrics])
     targets.close()
     peerClient.close()
@@ -246,6 +245,6 @@
     return stopped
   }
 
-  const { reload: reloadCertificates } = certificates
-  return { addresses, load: admission, stop, reloadCertificates }
+  const { reload } = certificates
+  return { addresses, load: admission, stop, reloadCertificates: reload }
 }
--- a/packages/daemon/src/node/stopping/stopParts.ts
+++ b/packages/daemon/src/node/stopping/stopParts.ts
@@ -18,7 +18,7 @@
   parts: readonly StoppablePart[],
   exporters: readonly ClosablePart[],
 ): Promise<void> {
-  const stopped = Promise.all(parts.map(async (part) => part.stop()))
+  const stopped = Promise.all(parts.map((part) => Promise.resolve(part.stop())))
   const closed = stopped.then(() =>
     Promise.all(exporters.map((exporter) => exporter.close())),
   )
