Keep connections to targets for the next idempotent request

Cause: the pool dropped the agent's answer whether to keep a connection, so none was ever kept, and the tests of silent kept connections met only new ones. Excluded: the target's closing, the idle limit. Change: the answer is passed on.

--- a/packages/daemon/src/node/targets/connectionPool.ts
+++ b/packages/daemon/src/node/targets/connectionPool.ts
@@ -63,9 +63,7 @@
 
   private agentKeeps(socket: Duplex): boolean {
     // The declared type is void, but the agent returns whether to keep.
-    const keep: (socket: Duplex) => unknown = (s) => {
-      super.keepSocketAlive.call(this, s)
-    }
+    const keep: (socket: Duplex) => unknown = super.keepSocketAlive.bind(this)
     return keep(socket) === true
   }
 
