Give no new work to a target that an operator drains

Cause: auburnbay drain set the draining field of a target, and the choice of targets did not read it: the command had no effect on work. Excluded: taking the target out of the configuration (its requests in flight would be forgotten). Change: a draining target counts as leaving on every router that has the version in force, and takes work again once the field is gone.

--- /dev/null
+++ b/packages/daemon/src/node/routing/__tests__/draining.test.ts
@@ -0,0 +1,33 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { TARGET_HEADER } from '@auburnbay/core'
+import { callChat } from '../../__tests__/callApi.js'
+import { startFleet } from '../../__tests__/startFleet.js'
+
+const CHATS = 12
+
+describe('a target that an operator drains', () => {
+  it('gets no new work, its returning chats included, until it is back', async () => {
+    const fleet = await startFleet({ engines: 2 })
+    const path = '/targets/engine-1/draining'
+    const targetsOfChats = async (): Promise<Set<unknown>> => {
+      const seen = new Set<unknown>()
+      for (let chat = 0; chat < CHATS; chat += 1) {
+        const { callerKey } = fleet
+        const answer = await callChat(fleet.callerUrl(), callerKey, `c-${chat}`)
+        assert.equal(answer.status, 200)
+        seen.add(answer.headers[TARGET_HEADER])
+      }
+      return seen
+    }
+    try {
+      assert.equal((await targetsOfChats()).size, 2)
+      await fleet.patch([{ op: 'add', path, value: true }], 1)
+      assert.deepEqual([...(await targetsOfChats())], ['engine-2'])
+      await fleet.patch([{ op: 'remove', path }], 2)
+      assert.equal((await targetsOfChats()).size, 2)
+    } finally {
+      await fleet.stop()
+    }
+  })
+})
--- a/packages/daemon/src/node/routing/createFleetView.ts
+++ b/packages/daemon/src/node/routing/createFleetView.ts
@@ -26,7 +26,7 @@
   routers(): readonly string[]
   /** Router that grants places on a group. */
   homeOf(groupId: string): string | undefined
-  /** Whether the VM list lets a target take new work. */
+  /** Whether VM list and configuration let a target take new work. */
   listed(targetId: string): boolean
   /** Takes in the VM list as it is now. */
   update(tables: readonly ServiceTable[]): void
@@ -80,7 +80,10 @@
       if (!homes.has(groupId)) homes.set(groupId, homeRouter(groupId, routers))
       return homes.get(groupId)
     },
-    listed: (targetId) => accepted.has(targetId) && !leaving.has(targetId),
+    listed(targetId) {
+      if (options.configuration().targets[targetId]?.draining) return false
+      return accepted.has(targetId) && !leaving.has(targetId)
+    },
     update(tables) {
       updateRouters()
       readVms()
