Start a lean router with an adapter to the platform

Cause: the daemon serves its own interface only and loads 45 MB of modules. Change: packages/router holds forwarding, choice, limits, health, peers and stopping behind ports; platform/ supplies names, formats and calls; deploy/ bundles both into one file. The exchange with a target and the connection pool move to http-utils, so that daemon and router share them.

--- a/packages/daemon/src/node/targets/createTargetClient.ts
+++ b/packages/daemon/src/node/targets/createTargetClient.ts
@@ -10,19 +10,19 @@
   ServiceKind,
   verdictOfAttempt,
 } from '@auburnbay/core'
-import { requestJson } from '@auburnbay/http-utils'
-import { err, ok, type Result } from 'neverthrow'
-import { createFailure } from '../callers/createFailure.js'
-import type { RoutedRequest } from '../callers/routedRequest.js'
-import type { ResolvedSettings } from '../settings/settingsSchema.js'
-import { ConnectionPool } from './connectionPool.js'
-import { CANCEL_TIMEOUT_MS } from './constants.js'
 import {
+  ConnectionPool,
   exchange,
   type ExchangeCall,
   ExchangeError,
   type ExchangeFailure,
-} from './exchange.js'
+  requestJson,
+} from '@auburnbay/http-utils'
+import { err, ok, type Result } from 'neverthrow'
+import { createFailure } from '../callers/createFailure.js'
+import type { RoutedRequest } from '../callers/routedRequest.js'
+import type { ResolvedSettings } from '../settings/settingsSchema.js'
+import { CANCEL_TIMEOUT_MS } from './constants.js'
 import { headersToTarget } from './forwardedHeaders.js'
 import { readInTime } from './readInTime.js'
 import { createReplyIdentity, runIdOf } from './replyIdentity.js'
--- a/packages/daemon/src/node/targets/exchange.ts
+++ b/packages/http-utils/src/node/exchange.ts
@@ -5,19 +5,28 @@
   request,
 } from 'node:http'
 import type { Socket } from 'node:net'
-import { AttemptProgress } from '@auburnbay/core'
+import { AttemptProgress } from '@auburnbay/core/verdict/attemptProgress'
 import { err, ok, type Result } from 'neverthrow'
-import type { ResolvedSettings } from '../settings/settingsSchema.js'
+
+/** How long a target may take. */
+export interface ExchangeLimits {
+  readonly connectTimeoutMs: number
+  /** Milliseconds until the first byte of an answer. */
+  readonly firstByteTimeoutMs: number
+}
 
 /** One request on one connection. */
 export interface ExchangeCall {
   readonly url: string
+  /** Sent as it is; without it the path of `url`. */
+  readonly path?: string
   readonly method: string
-  readonly headers: OutgoingHttpHeaders
+  /** Fields, or names and values alternating, sent as they are. */
+  readonly headers: OutgoingHttpHeaders | readonly string[]
   readonly body: Buffer
   readonly signal: AbortSignal
   readonly agent: Agent
-  readonly limits: ResolvedSettings['targets']
+  readonly limits: ExchangeLimits
   readonly onSocket?: (socket: Socket) => void
 }
 
@@ -44,13 +53,19 @@
 export function exchange(
   call: ExchangeCall,
 ): Promise<Result<IncomingMessage, ExchangeFailure>> {
-  const { url, method, headers, body, signal, agent, limits } = call
+  const { url, path, method, headers, body, signal, agent, limits } = call
   return new Promise((resolve) => {
     let progress = AttemptProgress.NothingWritten
     let timer: NodeJS.Timeout | undefined
     let silent = false
     let answer: IncomingMessage | undefined
-    const req = request(url, { agent, method, signal, headers })
+    const req = request(url, {
+      agent,
+      method,
+      signal,
+      headers,
+      ...(path !== undefined && { path }),
+    })
 
     function limit(ms: number, message: string): void {
       clearTimeout(timer)
--- /dev/null
+++ b/packages/router/src/node/configuration/createConfigurationKeeper.ts
@@ -0,0 +1,58 @@
+import { createRouteTable, type RouteTable } from './createRouteTable.js'
+import type { Customer } from './customer.js'
+import type { RouterConfiguration } from './routerConfiguration.js'
+import type { Service } from './service.js'
+
+/** A configuration with its indexes. */
+export interface ConfigurationInForce {
+  readonly configuration: RouterConfiguration
+  readonly routes: RouteTable
+  readonly services: ReadonlyMap<string, Service>
+  /** Undefined where requests need no key. */
+  readonly customerOfKey?: ReadonlyMap<string, Customer>
+}
+
+/** Keeps the highest version that was offered. */
+export interface ConfigurationKeeper {
+  readonly current: ConfigurationInForce | undefined
+  /** 0 before the first. */
+  readonly version: number
+  /** Puts a configuration in force if it is newer; returns whether it was. */
+  offer(configuration: RouterConfiguration): boolean
+}
+
+function indexCustomers(
+  customers: readonly Customer[],
+): ReadonlyMap<string, Customer> {
+  const byKey = new Map<string, Customer>()
+  for (const customer of customers)
+    for (const key of customer.keys) byKey.set(key, customer)
+  return byKey
+}
+
+/** Creates a keeper that knows no configuration. */
+export function createConfigurationKeeper(): ConfigurationKeeper {
+  let current: ConfigurationInForce | undefined
+
+  const version = (): number => current?.configuration.version ?? 0
+
+  return {
+    get current() {
+      return current
+    },
+    get version() {
+      return version()
+    },
+    offer(configuration) {
+      if (current && configuration.version <= version()) return false
+      const { customers, routes, services } = configuration
+      current = {
+        configuration,
+        routes: createRouteTable(routes),
+        services: new Map(services.map((service) => [service.name, service])),
+        ...(customers && { customerOfKey: indexCustomers(customers) }),
+      }
+      return true
+    },
+  }
+}
--- /dev/null
+++ b/packages/router/src/node/configuration/route.ts
@@ -0,0 +1,28 @@
+import type { RequestKind } from './requestKind.js'
+import type { ServiceShare } from './serviceShare.js'
+
+/** Where requests to a host and path go, and under which limits. */
+export interface Route {
+  readonly name: string
+  readonly host: string
+  /** Begins and ends with a slash. */
+  readonly pathPrefix: string
+  readonly kind: RequestKind
+  readonly services: readonly ServiceShare[]
+  /** Milliseconds after which a request gets its final answer. */
+  readonly timeoutMs: number
+  /** Milliseconds within which an answer, or a stream's first event, is due. */
+  readonly targetLatencyMs: number
+  /** Longest pause between two events, in milliseconds. */
+  readonly targetGapMs: number
+  /** 0 is the most urgent. */
+  readonly priority: number
+  /** Targets that may run one request. */
+  readonly maxAttempts: number
+  /** Whether requests need no key. */
+  readonly anonymous: boolean
+  /** Whether requests name the parts of a prompt that targets cache. */
+  readonly cachesPrompts: boolean
+  /** Whether a broken stream may go on at another target. */
+  readonly resumable: boolean
+}
--- /dev/null
+++ b/packages/router/src/node/configuration/service.ts
@@ -0,0 +1,8 @@
+/** A group of targets that answer the same requests. */
+export interface Service {
+  readonly name: string
+  /** Connections that one target accepts from all routers. */
+  readonly connectionLimit: number
+  /** Prompt tokens that a target's cache holds; 0 for a plain service. */
+  readonly cacheTokens: number
+}
--- /dev/null
+++ b/packages/router/src/node/constants.ts
@@ -0,0 +1,34 @@
+/** Milliseconds between two digests to peers; a fifth of the second in which load moves. */
+export const DIGEST_MS = 200
+/** Milliseconds after which a peer's counts are no longer used: five digests. */
+export const DIGEST_STALE_MS = 1_000
+/** Milliseconds of silence after which a peer counts as lost: ten digests. */
+export const PEER_LOST_MS = 2_000
+/** Milliseconds between two digests to a lost peer. */
+export const PEER_PROBE_MS = 1_000
+/** Milliseconds of silence after which a peer is forgotten; restarts take seconds. */
+export const PEER_FORGET_MS = 60_000
+/** Milliseconds between two tries to enter the list of routers. */
+export const DIRECTORY_RETRY_MS = 500
+/** Milliseconds between two readings of the list of routers. */
+export const DIRECTORY_READ_MS = 15_000
+/** Milliseconds after an outage within which lost entries of targets come back. */
+export const REJOIN_MS = 2_200
+/** Outages shorter than this, in milliseconds, lose no entries of targets. */
+export const SHORT_OUTAGE_MS = 1_000
+/** Milliseconds after which a peer's newer list of targets is borrowed. */
+export const BORROW_AFTER_MS = 1_500
+/** Readings of the list of targets within the time that a leaving one may still get work. */
+export const READINGS_PER_DRAIN = 3
+/** Milliseconds until a connection to a target must be open. */
+export const CONNECT_TIMEOUT_MS = 300
+/** Milliseconds that a connection to a target is kept without a request. */
+export const KEPT_IDLE_MS = 2_000
+/** Milliseconds after the order to stop until the balancer surely sends nothing more. */
+export const BALANCER_DELAY_MS = 3_000
+/** Milliseconds before the end of the grace period at which requests are broken off. */
+export const STOP_MARGIN_MS = 400
+/** Milliseconds between two looks at whether all requests have ended. */
+export const STOP_CHECK_MS = 50
+/** Routers that share the retry allowance while no peer is known. */
+export const ROUTERS_WHEN_ALONE = 10
--- /dev/null
+++ b/packages/router/src/node/createRouter.ts
@@ -0,0 +1,209 @@
+import { createServer } from 'node:http'
+import { performance } from 'node:perf_hooks'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { randomUUID } from 'node:crypto'
+import { closeServer, formatAddress, listen } from '@auburnbay/http-utils/listen'
+import { createCallerServer } from './callers/createCallerServer.js'
+import { createDispatcher } from './callers/createDispatcher.js'
+import { createConfigurationKeeper } from './configuration/createConfigurationKeeper.js'
+import type { RouterConfiguration } from './configuration/routerConfiguration.js'
+import * as constants from './constants.js'
+import { createTargetHealth } from './health/createTargetHealth.js'
+import { HEALTH_OPTIONS } from './health/constants.js'
+import {
+  createRetryAllowance,
+  type RetryAllowance,
+} from './limits/createRetryAllowance.js'
+import type { DecisionLog } from './logging/decisionLog.js'
+import { LogEvent } from './logging/logEvent.js'
+import { createMetricsServer } from './metrics/createMetricsServer.js'
+import { createRouterMetrics } from './metrics/createRouterMetrics.js'
+import { createPeers } from './peers/createPeers.js'
+import type { RouterPorts } from './routerPorts.js'
+import { createFleetLoad } from './routing/createFleetLoad.js'
+import type { RouterSettings } from './settings/settingsSchema.js'
+import { createSourceFollower } from './sources/createSourceFollower.js'
+import { createTargetClient } from './targets/createTargetClient.js'
+import { followTargets } from './targets/followTargets.js'
+import { createTargetView } from './targets/createTargetView.js'
+
+/** A running router. */
+export interface Router {
+  /** Where callers connect, as host:port. */
+  readonly address: string
+  readonly ready: boolean
+  /** Takes in changed settings; addresses stay as they were at the start. */
+  reload(settings: RouterSettings): void
+  /** Stops gracefully; resolves once every request has ended or the grace period has. */
+  stop(): Promise<void>
+}
+
+/** Starts a router; rejects when an address is in use. */
+export async function createRouter(
+  initial: RouterSettings,
+  ports: RouterPorts,
+  log: DecisionLog,
+): Promise<Router> {
+  let settings = initial
+  let stopping = false
+  const now = (): number => performance.now()
+  const incarnation = randomUUID()
+  const keeper = createConfigurationKeeper()
+  const view = createTargetView(constants.REJOIN_MS)
+  const load = createFleetLoad(constants.DIGEST_STALE_MS)
+  const metrics = createRouterMetrics()
+  const health = createTargetHealth(HEALTH_OPTIONS, (target, change) => {
+    log.write(LogEvent.TargetHealth, { target: target.id, change })
+  })
+
+  function offer(configuration: RouterConfiguration, from: string): void {
+    if (!keeper.offer(configuration)) return
+    const { version, routes } = configuration
+    log.write(LogEvent.ConfigurationInForce, {
+      version,
+      routes: routes.length,
+      from,
+    })
+  }
+
+  const configurations = createSourceFollower({
+    source: ports.configurations,
+    pauseMs: 0,
+    now,
+    onListing: (values) => {
+      for (const configuration of values.values())
+        offer(configuration, 'listing')
+    },
+    onEntry: ({ value }) => {
+      if (value) offer(value, 'log')
+    },
+    onLost: (fault) => {
+      log.write(LogEvent.SourceLost, { source: 'configurations', fault })
+    },
+    onRegained: (lostMs) => {
+      log.write(LogEvent.SourceRegained, {
+        source: 'configurations',
+        lostMs: Math.round(lostMs),
+      })
+    },
+  })
+  const targets = followTargets({
+    source: ports.targets,
+    view,
+    pauseMs: settings.bounds.drainMs / constants.READINGS_PER_DRAIN,
+    now,
+    log,
+  })
+  const peers = await createPeers({
+    settings,
+    incarnation,
+    keeper,
+    view,
+    load,
+    directory: ports.directory,
+    targetsAgeMs: () => targets.ageMs(),
+    isStopping: () => stopping,
+    onConfiguration: offer,
+    onTargets: (borrowed) => {
+      targets.borrow(borrowed)
+    },
+    log,
+    now,
+  })
+
+  const allowances = new Map<string, RetryAllowance>()
+  function allowanceOf(service: string): RetryAllowance {
+    const known = allowances.get(service)
+    if (known) return known
+    const allowance = createRetryAllowance({
+      bounds: () => ({
+        ratio: settings.bounds.retryRatio,
+        allowance: settings.bounds.retryAllowance,
+        windowS: settings.bounds.retryWindowS,
+      }),
+      routers: () => peers.routers(),
+    })
+    allowances.set(service, allowance)
+    return allowance
+  }
+
+  const client = createTargetClient({
+    protocol: ports.targetProtocol,
+    connectTimeoutMs: constants.CONNECT_TIMEOUT_MS,
+    keptIdleMs: constants.KEPT_IDLE_MS,
+  })
+  const callers = await createCallerServer({
+    address: settings.listen.callers,
+    keeper,
+    protocol: ports.callerProtocol,
+    dispatcher: createDispatcher({
+      dataCentre: settings.router.dataCentre,
+      view,
+      load,
+      health,
+      client,
+      protocol: ports.targetProtocol,
+      allowanceOf,
+      log,
+      metrics,
+      now,
+    }),
+    log,
+    metrics,
+    now,
+  })
+
+  const isReady = (): boolean =>
+    !stopping && keeper.current !== undefined && targets.isKnown()
+  const readiness = createServer((_req, res) => {
+    res.writeHead(isReady() ? 200 : 503, { 'Content-Length': 0 })
+    res.end()
+  })
+  await listen(readiness, settings.listen.readiness)
+  const metricsServer = settings.listen.metrics
+    ? await createMetricsServer(settings.listen.metrics, metrics)
+    : undefined
+  log.write(LogEvent.Started, {
+    callers: formatAddress(callers.address),
+    incarnation,
+  })
+
+  async function waitForAnswers(untilMs: number): Promise<void> {
+    while (callers.inFlight > 0 && now() < untilMs)
+      await sleep(constants.STOP_CHECK_MS)
+  }
+
+  async function stopOnce(): Promise<void> {
+    stopping = true
+    const startedAtMs = now()
+    log.write(LogEvent.Stopping, { inFlight: callers.inFlight })
+    callers.closeAfterAnswers()
+    peers.tell()
+    const gracePeriodMs = settings.bounds.gracePeriodS * 1_000
+    const lastMs = startedAtMs + gracePeriodMs - constants.STOP_MARGIN_MS
+    await sleep(Math.min(constants.BALANCER_DELAY_MS, gracePeriodMs / 2))
+    callers.refuseNew()
+    await waitForAnswers(lastMs)
+    log.write(LogEvent.Stopped, { brokenOff: callers.inFlight })
+    callers.close()
+    configurations.stop()
+    targets.stop()
+    peers.close()
+    client.close()
+    metricsServer?.close()
+    await closeServer(readiness)
+  }
+
+  let stopped: Promise<void> | undefined
+  return {
+    address: formatAddress(callers.address),
+    get ready() {
+      return isReady()
+    },
+    reload(changed) {
+      settings = changed
+      log.write(LogEvent.SettingsReloaded, {})
+    },
+    stop: () => (stopped ??= stopOnce()),
+  }
+}
--- /dev/null
+++ b/packages/router/src/node/health/constants.ts
@@ -0,0 +1,11 @@
+import type { HealthOptions } from '@auburnbay/core/health/healthOptions'
+
+/** When targets are ejected; half of a service stays in any case. */
+export const HEALTH_OPTIONS: HealthOptions = {
+  consecutiveFailures: 3,
+  rateOutcomes: 12,
+  maxRateGap: 0.25,
+  baseHoldMs: 1_500,
+  maxHoldMs: 6_000,
+  maxEjectedShare: 0.5,
+}
--- /dev/null
+++ b/packages/router/src/node/health/createTargetHealth.ts
@@ -0,0 +1,73 @@
+import {
+  createServiceHealth,
+  HealthChange,
+  type ServiceHealth,
+} from '@auburnbay/core/health/createServiceHealth'
+import type { HealthOptions } from '@auburnbay/core/health/healthOptions'
+import type { TargetOutcome } from '@auburnbay/core/health/targetOutcome'
+import type { Target } from '../targets/target.js'
+
+/** Which targets requests may go to, judged by how requests ended. */
+export interface TargetHealth {
+  /** Returns those of a service's targets that may get a request now. */
+  eligible(
+    service: string,
+    targets: readonly Target[],
+    nowMs: number,
+  ): readonly Target[]
+  record(target: Target, outcome: TargetOutcome, nowMs: number): void
+  /** Gives a target no work for `forMs`, unless nothing else is left. */
+  avoid(targetId: string, forMs: number, nowMs: number): void
+}
+
+/** Creates health in which every target is eligible. */
+export function createTargetHealth(
+  options: HealthOptions,
+  onChange: (target: Target, change: HealthChange) => void,
+): TargetHealth {
+  const services = new Map<string, ServiceHealth>()
+  const known = new Map<string, readonly Target[]>()
+  const avoidedUntilMs = new Map<string, number>()
+
+  function healthOf(
+    service: string,
+    targets: readonly Target[],
+  ): ServiceHealth {
+    const health = services.get(service) ?? createServiceHealth(options)
+    services.set(service, health)
+    if (known.get(service) !== targets) {
+      known.set(service, targets)
+      health.setTargets(targets.map(({ id }) => id))
+    }
+    return health
+  }
+
+  function isAvoided(id: string, nowMs: number): boolean {
+    const untilMs = avoidedUntilMs.get(id)
+    if (untilMs === undefined) return false
+    if (nowMs < untilMs) return true
+    avoidedUntilMs.delete(id)
+    return false
+  }
+
+  return {
+    eligible(service, targets, nowMs) {
+      const health = healthOf(service, targets)
+      const open = targets.filter(
+        ({ id }) =>
+          !isAvoided(id, nowMs) && health.isEligible(id, true, nowMs),
+      )
+      return open.length > 0 ? open : targets
+    },
+    record(target, outcome, nowMs) {
+      const health = services.get(target.service)
+      if (!health) return
+      const isProbe = health.started(target.id, nowMs)
+      const change = health.record(target.id, outcome, nowMs, isProbe)
+      if (change !== HealthChange.None) onChange(target, change)
+    },
+    avoid(targetId, forMs, nowMs) {
+      avoidedUntilMs.set(targetId, nowMs + forMs)
+    },
+  }
+}
--- /dev/null
+++ b/packages/router/src/node/logging/logEvent.ts
@@ -0,0 +1,23 @@
+/** What a log line is about. */
+export enum LogEvent {
+  Started = 'started',
+  Stopping = 'stopping',
+  Stopped = 'stopped',
+  SettingsReloaded = 'settings-reloaded',
+  SettingsRejected = 'settings-rejected',
+  ConfigurationInForce = 'configuration-in-force',
+  TargetListed = 'target-listed',
+  TargetDraining = 'target-draining',
+  TargetGone = 'target-gone',
+  TargetHealth = 'target-health',
+  SourceLost = 'source-lost',
+  SourceRegained = 'source-regained',
+  EntryRejected = 'entry-rejected',
+  PeerFound = 'peer-found',
+  PeerLost = 'peer-lost',
+  PeerFailed = 'peer-failed',
+  RequestSent = 'request-sent',
+  RequestEnded = 'request-ended',
+  RequestRefused = 'request-refused',
+  LinesDropped = 'lines-dropped',
+}
--- /dev/null
+++ b/packages/router/src/node/metrics/createMetricsServer.ts
@@ -0,0 +1,28 @@
+import { createServer } from 'node:http'
+import { listen, type ListenAddress } from '@auburnbay/http-utils/listen'
+import type { RouterMetrics } from './routerMetrics.js'
+
+/** Serves a router's metrics as text, at any path. */
+export interface MetricsServer {
+  close(): void
+}
+
+/** Starts listening; rejects when the address is in use. */
+export async function createMetricsServer(
+  address: ListenAddress,
+  metrics: RouterMetrics,
+): Promise<MetricsServer> {
+  const server = createServer((_req, res) => {
+    void metrics.render().then((text) => {
+      res.writeHead(200, { 'Content-Type': 'text/plain; version=0.0.4' })
+      res.end(text)
+    })
+  })
+  await listen(server, address)
+  return {
+    close() {
+      server.close()
+      server.closeAllConnections()
+    },
+  }
+}
--- /dev/null
+++ b/packages/router/src/node/metrics/createRouterMetrics.ts
@@ -0,0 +1,50 @@
+import { Counter, Histogram, Registry } from 'prom-client'
+import type { RouterMetrics } from './routerMetrics.js'
+
+/** Bounds of the latency buckets in seconds. */
+const LATENCY_BUCKETS_S = [0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12, 30]
+
+/** Creates metrics in a registry of their own. */
+export function createRouterMetrics(): RouterMetrics {
+  const registry = new Registry()
+  const registers = [registry]
+  const requests = new Counter({
+    name: 'auburnbay_requests_total',
+    help: 'Requests by route and status; status 0 was broken off.',
+    labelNames: ['route', 'status'],
+    registers,
+  })
+  const resends = new Counter({
+    name: 'auburnbay_resends_total',
+    help: 'Sends beyond the first of a request, by service and cause.',
+    labelNames: ['service', 'cause'],
+    registers,
+  })
+  const durations = new Histogram({
+    name: 'auburnbay_request_seconds',
+    help: 'Time from a whole request to its whole answer.',
+    labelNames: ['route'],
+    buckets: LATENCY_BUCKETS_S,
+    registers,
+  })
+  const heads = new Histogram({
+    name: 'auburnbay_target_head_seconds',
+    help: 'Time from a send to the head of the answer.',
+    labelNames: ['service'],
+    buckets: LATENCY_BUCKETS_S,
+    registers,
+  })
+  return {
+    answered(route, status, seconds) {
+      requests.inc({ route, status })
+      durations.observe({ route }, seconds)
+    },
+    headSeen(service, seconds) {
+      heads.observe({ service }, seconds)
+    },
+    resent(service, cause) {
+      resends.inc({ service, cause })
+    },
+    render: () => registry.metrics(),
+  }
+}
--- /dev/null
+++ b/packages/router/src/node/peers/joinDirectory.ts
@@ -0,0 +1,43 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import { DIRECTORY_READ_MS, DIRECTORY_RETRY_MS } from '../constants.js'
+import type { RouterDirectory } from '../routerPorts.js'
+import type { PeerAddress } from './peerAddress.js'
+
+/** What joining works with. */
+export interface JoinDirectoryOptions {
+  readonly directory: RouterDirectory
+  readonly router: string
+  readonly address: PeerAddress
+  readonly onListed: (router: string, address: PeerAddress) => void
+}
+
+/** Enters a router in the list of routers, then reads the list now and then. */
+export function joinDirectory(options: JoinDirectoryOptions): {
+  leave(): void
+} {
+  const { directory, router, address, onListed } = options
+  const leaving = new AbortController()
+  const { signal } = leaving
+
+  function pause(ms: number): Promise<void> {
+    return sleep(ms, undefined, { signal, ref: false }).catch(() => undefined)
+  }
+
+  async function run(): Promise<void> {
+    while (!signal.aborted && !(await directory.enter(router, address)))
+      await pause(DIRECTORY_RETRY_MS)
+    while (!signal.aborted) {
+      const listed = await directory.list()
+      for (const [name, peer] of listed ?? [])
+        if (name !== router) onListed(name, peer)
+      await pause(listed ? DIRECTORY_READ_MS : DIRECTORY_RETRY_MS)
+    }
+  }
+
+  void run()
+  return {
+    leave() {
+      leaving.abort()
+    },
+  }
+}
--- /dev/null
+++ b/packages/router/src/node/peers/peerDigest.ts
@@ -0,0 +1,34 @@
+import * as v from 'valibot'
+
+const digestSchema = v.object({
+  router: v.string(),
+  /** Names one start of the router. */
+  incarnation: v.string(),
+  /** Counts up with each digest. */
+  sequence: v.number(),
+  port: v.number(),
+  configurationVersion: v.number(),
+  /** Milliseconds since the router last read the list of targets itself. */
+  targetsAgeMs: v.nullable(v.number()),
+  stopping: v.boolean(),
+  /** Requests in flight by target id. */
+  inFlight: v.record(v.string(), v.number()),
+})
+
+/** What a router tells its peers several times a second. */
+export type PeerDigest = v.InferOutput<typeof digestSchema>
+
+/** Reads a datagram; undefined where it is no digest. */
+export function decodeDigest(datagram: Buffer): PeerDigest | undefined {
+  try {
+    const parsed = v.safeParse(digestSchema, JSON.parse(datagram.toString()))
+    return parsed.success ? parsed.output : undefined
+  } catch {
+    return undefined
+  }
+}
+
+/** Writes a digest as a datagram. */
+export function encodeDigest(digest: PeerDigest): Buffer {
+  return Buffer.from(JSON.stringify(digest))
+}
--- /dev/null
+++ b/packages/router/src/node/routing/choosePlace.ts
@@ -0,0 +1,52 @@
+import { rendezvousOrder } from '@auburnbay/core/routing/rendezvousOrder'
+import type { Target } from '../targets/target.js'
+
+/** What a choice is made from. */
+export interface PlaceQuestion {
+  /** Targets that may run the request. */
+  readonly targets: readonly Target[]
+  /** Requests in flight at a target, from the whole fleet. */
+  readonly load: (targetId: string) => number
+  /** What the request shares with others; undefined spreads it. */
+  readonly affinity?: string
+  /** Breaks ties, other for each request. */
+  readonly spread: string
+  readonly dataCentre: string
+}
+
+/** Part above the mean load that a cached prompt is worth. */
+const AFFINITY_LOAD_FACTOR = 1.4
+/** Requests above it, so that small loads do not scatter prompts. */
+const AFFINITY_LOAD_MARGIN = 2
+
+function orderBy(key: string, targets: readonly Target[]): Target[] {
+  return rendezvousOrder(
+    key,
+    targets.map((target) => ({ id: target.id, weight: 1, target })),
+  ).map(({ target }) => target)
+}
+
+function leastLoaded(question: PlaceQuestion): Target | undefined {
+  let best: Target | undefined
+  let bestLoad = Infinity
+  for (const target of orderBy(question.spread, question.targets)) {
+    const load = (question.load(target.id) + 1) / Math.max(1, target.slots)
+    if (load >= bestLoad) continue
+    best = target
+    bestLoad = load
+  }
+  return best
+}
+
+/** Chooses the target of a request; undefined where there is none. */
+export function choosePlace(question: PlaceQuestion): Target | undefined {
+  const { targets, load, affinity } = question
+  if (affinity === undefined) return leastLoaded(question)
+  let total = 0
+  for (const { id } of targets) total += load(id)
+  const mean = total / Math.max(1, targets.length)
+  const bound = AFFINITY_LOAD_FACTOR * mean + AFFINITY_LOAD_MARGIN
+  for (const target of orderBy(affinity, targets))
+    if (load(target.id) + 1 <= bound) return target
+  return leastLoaded(question)
+}
--- /dev/null
+++ b/packages/router/src/node/runRouter.ts
@@ -0,0 +1,57 @@
+import { statSync } from 'node:fs'
+import process from 'node:process'
+import type { ListenAddress } from '@auburnbay/http-utils/listen'
+import { createRouter } from './createRouter.js'
+import { createDecisionLog } from './logging/createDecisionLog.js'
+import type { DecisionLog } from './logging/decisionLog.js'
+import { LogEvent } from './logging/logEvent.js'
+import type { RouterPorts } from './routerPorts.js'
+import { readSettings } from './settings/readSettings.js'
+
+/** Milliseconds between two looks at whether the settings file changed. */
+const SETTINGS_CHECK_MS = 2_000
+
+function modifiedAtMs(path: string): number {
+  try {
+    return statSync(path).mtimeMs
+  } catch {
+    // The file is being replaced; the next look finds it.
+    return 0
+  }
+}
+
+/** Runs a router as a process until a signal stops it. */
+export async function runRouter(
+  settingsPath: string,
+  createPorts: (logService: ListenAddress, log: DecisionLog) => RouterPorts,
+): Promise<void> {
+  const settings = readSettings(settingsPath)
+  if (settings.isErr()) {
+    process.stderr.write(`${settings.error}\n`)
+    process.exit(1)
+  }
+  const log = createDecisionLog(settings.value.router.id)
+  const ports = createPorts(settings.value.logService, log)
+  const router = await createRouter(settings.value, ports, log)
+
+  function reload(): void {
+    const changed = readSettings(settingsPath)
+    if (changed.isOk()) router.reload(changed.value)
+    else log.write(LogEvent.SettingsRejected, { reason: changed.error })
+  }
+
+  let lastModifiedMs = modifiedAtMs(settingsPath)
+  setInterval(() => {
+    const modifiedMs = modifiedAtMs(settingsPath)
+    if (modifiedMs === lastModifiedMs) return
+    lastModifiedMs = modifiedMs
+    reload()
+  }, SETTINGS_CHECK_MS).unref()
+  process.on('SIGHUP', reload)
+  process.on('SIGTERM', () => {
+    void router.stop().then(() => {
+      log.close()
+      process.exit(0)
+    })
+  })
+}
--- /dev/null
+++ b/packages/router/src/node/sources/createSourceFollower.ts
@@ -0,0 +1,97 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { KeyedSource, SourceEntry } from './keyedSource.js'
+import { SourceFault } from './sourceFault.js'
+
+/** Milliseconds between two tries while a source does not answer. */
+const RETRY_MS = 250
+
+/** What a follower works with. */
+export interface SourceFollowerOptions<T> {
+  readonly source: KeyedSource<T>
+  /** Milliseconds between two readings. */
+  readonly pauseMs: number
+  /** Steady clock, in milliseconds. */
+  readonly now: () => number
+  readonly onListing: (values: ReadonlyMap<string, T>) => void
+  readonly onEntry: (entry: SourceEntry<T>) => void
+  readonly onLost?: (fault: SourceFault) => void
+  /** Called before the first changes after an outage, with its length. */
+  readonly onRegained?: (lostMs: number) => void
+}
+
+/** Reads a source again and again. */
+export interface SourceFollower {
+  /** Milliseconds since the source last answered; infinite before the first time. */
+  ageMs(): number
+  stop(): void
+}
+
+/** Starts to follow a source. */
+export function createSourceFollower<T>(
+  options: SourceFollowerOptions<T>,
+): SourceFollower {
+  const { source, now, onListing, onEntry } = options
+  const stopping = new AbortController()
+  const { signal } = stopping
+  let end: number | undefined
+  let readAtMs = -Infinity
+  let lostSinceMs: number | undefined
+
+  function answered(): void {
+    readAtMs = now()
+    if (lostSinceMs === undefined) return
+    options.onRegained?.(readAtMs - lostSinceMs)
+    lostSinceMs = undefined
+  }
+
+  function failed(fault: SourceFault): void {
+    if (fault === SourceFault.Trimmed) {
+      end = undefined
+      return
+    }
+    if (lostSinceMs !== undefined) return
+    lostSinceMs = now()
+    options.onLost?.(fault)
+  }
+
+  async function list(): Promise<boolean> {
+    const listing = await source.list()
+    if (listing.isErr()) {
+      failed(listing.error)
+      return false
+    }
+    answered()
+    end = listing.value.end
+    onListing(listing.value.values)
+    return true
+  }
+
+  async function readOn(from: number): Promise<boolean> {
+    const page = await source.read(from)
+    if (page.isErr()) {
+      failed(page.error)
+      return page.error === SourceFault.Trimmed
+    }
+    answered()
+    // An end before the offset means that another history stands there now.
+    end = page.value.end < from ? undefined : page.value.end
+    for (const entry of page.value.entries) onEntry(entry)
+    return true
+  }
+
+  async function run(): Promise<void> {
+    while (!signal.aborted) {
+      const read = end === undefined ? await list() : await readOn(end)
+      const pauseMs = read ? options.pauseMs : RETRY_MS
+      await sleep(pauseMs, undefined, { signal }).catch(() => undefined)
+    }
+  }
+
+  void run()
+  return {
+    ageMs: () => now() - readAtMs,
+    stop: () => {
+      stopping.abort()
+    },
+  }
+}
--- /dev/null
+++ b/packages/router/src/node/targets/createTargetView.ts
@@ -0,0 +1,80 @@
+import type { Target } from './target.js'
+
+/** The targets that may get work, as far as this router knows. */
+export interface TargetView {
+  /** Returns the targets of a service that are not leaving. */
+  ready(service: string): readonly Target[]
+  /** Returns a target that is listed, leaving or not. */
+  find(id: string): Target | undefined
+  all(): Iterable<Target>
+  /** Takes in a whole list. */
+  replace(targets: ReadonlyMap<string, Target>, nowMs: number): void
+  put(target: Target): void
+  remove(id: string, nowMs: number): void
+  /** Notes that the list can be read again after an outage. */
+  regained(nowMs: number): void
+  /** Removes targets whose entry did not come back in time. */
+  expire(nowMs: number): void
+}
+
+/**
+ * Creates an empty view.
+ * @param rejoinMs Milliseconds after an outage of the list within which entries that it lost come back.
+ */
+export function createTargetView(rejoinMs: number): TargetView {
+  const targets = new Map<string, Target>()
+  const missing = new Set<string>()
+  let byService: Map<string, Target[]> | undefined
+  let rejoinUntilMs = -Infinity
+
+  function index(): Map<string, Target[]> {
+    const indexed = new Map<string, Target[]>()
+    for (const target of targets.values()) {
+      if (target.draining) continue
+      const group = indexed.get(target.service)
+      if (group) group.push(target)
+      else indexed.set(target.service, [target])
+    }
+    return indexed
+  }
+
+  function drop(id: string): void {
+    missing.delete(id)
+    targets.delete(id)
+    byService = undefined
+  }
+
+  function put(target: Target): void {
+    missing.delete(target.id)
+    targets.set(target.id, target)
+    byService = undefined
+  }
+
+  function remove(id: string, nowMs: number): void {
+    if (!targets.has(id)) return
+    if (nowMs < rejoinUntilMs) missing.add(id)
+    else drop(id)
+  }
+
+  return {
+    ready(service) {
+      byService ??= index()
+      return byService.get(service) ?? []
+    },
+    find: (id) => targets.get(id),
+    all: () => targets.values(),
+    replace(listed, nowMs) {
+      for (const target of listed.values()) put(target)
+      for (const id of targets.keys()) if (!listed.has(id)) remove(id, nowMs)
+    },
+    put,
+    remove,
+    regained(nowMs) {
+      rejoinUntilMs = nowMs + rejoinMs
+    },
+    expire(nowMs) {
+      if (nowMs < rejoinUntilMs) return
+      for (const id of missing) drop(id)
+    },
+  }
+}
--- /dev/null
+++ b/packages/router/src/node/targets/target.ts
@@ -0,0 +1,13 @@
+/** One running instance of a service. */
+export interface Target {
+  /** Names this incarnation; a restart brings another. */
+  readonly id: string
+  readonly service: string
+  readonly host: string
+  readonly port: number
+  readonly dataCentre: string
+  /** Requests that run at once. */
+  readonly slots: number
+  /** Whether it announced that it leaves. */
+  readonly draining: boolean
+}
