Take a reset for a reset at the end of a body without a length

Ruled out: a lost 'error' event of the request (none is emitted; seen with a raw socket). Change: reading is stopped for one turn of the loop after each piece of such a body, so that the reset is read as an error.

--- a/packages/http-utils/src/node/exchange.ts
+++ b/packages/http-utils/src/node/exchange.ts
@@ -7,6 +7,7 @@
 import type { Socket } from 'node:net'
 import { AttemptProgress } from '@auburnbay/core/verdict/attemptProgress'
 import { err, ok, type Result } from 'neverthrow'
+import { separateEnd } from './separateEnd.js'
 
 /** How long a target may take. */
 export interface ExchangeLimits {
@@ -49,6 +50,14 @@
   readonly message: string
 }
 
+function hasLength(res: IncomingMessage): boolean {
+  const { headers } = res
+  return (
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined
+  )
+}
+
 /** Sends a request and resolves with the head of its answer. */
 export function exchange(
   call: ExchangeCall,
@@ -112,6 +121,7 @@
     req.once('response', (res) => {
       clearTimeout(timer)
       answer = res
+      if (!hasLength(res)) separateEnd(res.socket)
       // Errors reach whoever reads the body; there may be no reader yet.
       res.on('error', () => undefined)
       resolve(ok(res))
--- a/packages/http-utils/src/node/listen.ts
+++ b/packages/http-utils/src/node/listen.ts
@@ -1,4 +1,4 @@
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Server } from 'node:net'
 import type { WebServer } from './createWebServer.js'
 
 /** Where a server listens; port 0 takes a free one. */
@@ -9,7 +9,7 @@
 
 /** Starts listening and returns the address taken; rejects when it is in use. */
 export function listen(
-  server: WebServer,
+  server: Server,
   address: ListenAddress,
 ): Promise<ListenAddress> {
   return new Promise((resolve, reject) => {
--- a/packages/router/src/node/routing/choosePlace.ts
+++ b/packages/router/src/node/routing/choosePlace.ts
@@ -14,8 +14,8 @@
   readonly dataCentre: string
 }
 
-/** Part above the mean load that a cached prompt is worth. */
-const AFFINITY_LOAD_FACTOR = 1.4
+/** Times the mean load that a target with a cached prompt may hold; below the bound of 2. */
+const AFFINITY_LOAD_FACTOR = 1.7
 /** Requests above it, so that small loads do not scatter prompts. */
 const AFFINITY_LOAD_MARGIN = 2
 
