--- /dev/null
+++ b/packages/router/src/node/callers/__tests__/createEventSplitter.test.ts
@@ -0,0 +1,52 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import { createEventSplitter } from '../createEventSplitter.js'
+
+const eventsOf = (count: number): string =>
+  Array.from({ length: count }, (_, i) => `id: ${i}\ndata: piece ${i}\n\n`).join('')
+
+describe('createEventSplitter', () => {
+  it('passes on whole events only and leaves every byte as it is', () => {
+    fc.assert(
+      fc.property(
+        fc.nat(6),
+        fc.array(fc.nat(120), { maxLength: 8 }),
+        fc.nat(20),
+        (count, cuts, tail) => {
+          const whole = eventsOf(count)
+          const stream = Buffer.from(whole + 'id: 99\ndata: torn piece'.slice(0, tail))
+          const places = [...cuts, stream.length].sort((a, b) => a - b)
+          const splitter = createEventSplitter()
+          let passed = ''
+          let from = 0
+          for (const place of places) {
+            const to = Math.min(place, stream.length)
+            if (to === from) continue
+            passed += String(splitter.push(stream.subarray(from, to)) ?? '')
+            from = to
+          }
+          assert.equal(passed, whole)
+          assert.equal(splitter.isWhole, tail === 0)
+          const last = count > 0 ? String(count - 1) : undefined
+          assert.equal(splitter.lastEventId, last)
+        },
+      ),
+      { seed: 11, numRuns: 500 },
+    )
+  })
+
+  it('keeps the last id when an event without one follows', () => {
+    const splitter = createEventSplitter()
+    splitter.push(Buffer.from('id: 4\ndata: a\n\n'))
+    splitter.push(Buffer.from(': comment\n\n'))
+    assert.equal(splitter.lastEventId, '4')
+  })
+
+  it('forgets a torn event when another connection goes on', () => {
+    const splitter = createEventSplitter()
+    splitter.push(Buffer.from('id: 1\nda'))
+    splitter.reset()
+    assert.equal(String(splitter.push(Buffer.from('id: 1\n\n'))), 'id: 1\n\n')
+  })
+})
--- a/packages/router/src/node/callers/createAnswerRelay.ts
+++ b/packages/router/src/node/callers/createAnswerRelay.ts
@@ -4,17 +4,23 @@
 import type { Call } from './call.js'
 import { createEventSplitter } from './createEventSplitter.js'
 import { pumpBody } from './pumpBody.js'
-import { readWhole } from './readWhole.js'
 import { RelayEnd } from './relayEnd.js'
 import { RequestKind } from '../configuration/requestKind.js'
 
-/** Longest body, in bytes, that is read whole before the caller gets any. */
-const MAX_WHOLE_BYTES = 256 * 1024
+/** Bytes of a body that are held back, so that a broken answer can be replaced. */
+const MAX_HELD_BYTES = 256 * 1024
+
+/** Status of an answer that goes on with a stream. */
+const RESUMED_STATUS = 200
 
 /** Passes one call's answers on to its caller. */
 export interface AnswerRelay {
   /** Whether the caller has the head of an answer. */
   readonly begun: boolean
+  /** Whether another target's answer may still take the place of a broken one. */
+  readonly replaceable: boolean
+  /** Whether an answer may follow what the caller has. */
+  fits(answer: TargetAnswer): boolean
   /** Last event that the caller has. */
   readonly lastEventId: string | undefined
   /** Passes an answer on; what follows a broken stream goes on after it. */
@@ -37,36 +43,39 @@
     res.writeHead(head.status, protocol.answerHeaders(from.rawHeaders))
   }
 
-  function fitsWhole({ res: from }: TargetAnswer): boolean {
-    const length = Number(from.headers['content-length'] ?? NaN)
-    return !isStream && length <= MAX_WHOLE_BYTES
-  }
-
-  async function relayWhole(answer: TargetAnswer): Promise<RelayEnd> {
-    const body = await readWhole(answer.res)
-    if (signal.aborted) return RelayEnd.Aborted
-    if (!body) return RelayEnd.Broken
-    begin(answer)
-    res.end(body)
+  /** Holds a body back until it is whole, unless it is long. */
+  async function relayPlain(answer: TargetAnswer): Promise<RelayEnd> {
+    let held: Buffer[] = []
+    let heldBytes = 0
+    const end = await pumpBody(answer.res, res, signal, (piece) => {
+      if (begun) return piece
+      held.push(piece)
+      heldBytes += piece.length
+      if (heldBytes <= MAX_HELD_BYTES) return undefined
+      begin(answer)
+      const start = Buffer.concat(held)
+      held = []
+      return start
+    })
+    if (end !== RelayEnd.Complete) return end
+    if (!begun) begin(answer)
+    res.end(Buffer.concat(held))
     return RelayEnd.Complete
   }
 
-  async function relayPieces(answer: TargetAnswer): Promise<RelayEnd> {
+  async function relayStream(answer: TargetAnswer): Promise<RelayEnd> {
     if (!begun) {
       begin(answer)
       res.flushHeaders()
     }
     splitter.reset()
-    const resumable = isStream && route.resumable
     const end = await pumpBody(answer.res, res, signal, (piece) => {
-      if (!isStream) return piece
       const whole = splitter.push(piece)
-      return resumable ? whole : piece
+      return route.resumable ? whole : piece
     })
     if (end !== RelayEnd.Complete) return end
     // Without a length, a body that broke off looks like one that ended.
-    const isCut = isStream && isSuccess(answer) && !splitter.isWhole
-    if (isCut) return RelayEnd.Broken
+    if (!splitter.isWhole) return RelayEnd.Broken
     res.end()
     return RelayEnd.Complete
   }
@@ -78,8 +87,12 @@
     get lastEventId() {
       return splitter.lastEventId
     },
+    get replaceable() {
+      return !begun || (isStream && route.resumable)
+    },
+    fits: ({ head }) => !begun || head.status === RESUMED_STATUS,
     relay: (answer) =>
-      fitsWhole(answer) ? relayWhole(answer) : relayPieces(answer),
+      isStream && isSuccess(answer) ? relayStream(answer) : relayPlain(answer),
   }
 }
 
--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -86,7 +86,8 @@
     )
   }
 
-  function mayRunAgain(call: Call, { runs }: Progress): boolean {
+  function mayRunAgain(call: Call, { relay, runs }: Progress): boolean {
+    if (!relay.replaceable) return false
     return isRepeatable(call) && runs < call.route.maxAttempts
   }
 
@@ -190,9 +191,11 @@
       metrics.resent(call.service, `status-${status}`)
       return Next.OtherTarget
     }
-    const end = await progress.relay.relay(answer)
-    if (end === RelayEnd.Complete) return Next.Done
-    if (end === RelayEnd.Aborted) return Next.Done
+    const end = progress.relay.fits(answer)
+      ? await progress.relay.relay(answer)
+      : RelayEnd.Broken
+    if (end !== RelayEnd.Broken) return Next.Done
+    answer.res.destroy()
     health.record(target, TargetOutcome.Failure, now())
     progress.lastCause = TargetFailureCause.Broken
     log.write(LogEvent.RequestSent, {
--- /dev/null
+++ b/packages/router/src/node/configuration/__tests__/createRouteTable.test.ts
@@ -0,0 +1,60 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import { createRouteTable } from '../createRouteTable.js'
+import type { Route } from '../route.js'
+import { testRoute } from './testConfiguration.js'
+
+function findNaively(
+  routes: readonly Route[],
+  host: string,
+  path: string,
+): Route | undefined {
+  let best: Route | undefined
+  for (const route of routes) {
+    if (route.host !== host || !path.startsWith(route.pathPrefix)) continue
+    if (!best || route.pathPrefix.length > best.pathPrefix.length) best = route
+  }
+  return best
+}
+
+const segment = fc.constantFrom('a', 'b', 'ab', '')
+const path = fc
+  .array(segment, { maxLength: 4 })
+  .map((segments) => `/${segments.join('/')}`)
+
+describe('createRouteTable', () => {
+  it('finds the longest prefix, as a look at every route does', () => {
+    fc.assert(
+      fc.property(
+        fc.uniqueArray(fc.tuple(fc.constantFrom('x', 'y'), path), {
+          maxLength: 8,
+          selector: ([host, prefix]) => `${host} ${prefix}`,
+        }),
+        path,
+        (prefixes, asked) => {
+          const routes = prefixes.map(([host, prefix]) =>
+            testRoute({
+              host,
+              pathPrefix: prefix.endsWith('/') ? prefix : `${prefix}/`,
+              name: `${host}${prefix}`,
+            }),
+          )
+          const distinct = [
+            ...new Map(
+              routes.map((route) => [`${route.host} ${route.pathPrefix}`, route]),
+            ).values(),
+          ]
+          const expected = findNaively(distinct, 'x', asked)
+          assert.equal(createRouteTable(distinct).find('x', asked), expected)
+        },
+      ),
+      { seed: 7, numRuns: 1_000 },
+    )
+  })
+
+  it('does not take a path without its slash for the prefix', () => {
+    const table = createRouteTable([testRoute({ pathPrefix: '/a/' })])
+    assert.equal(table.find('a.example', '/a'), undefined)
+  })
+})
--- /dev/null
+++ b/packages/router/src/node/configuration/__tests__/testConfiguration.ts
@@ -0,0 +1,41 @@
+import { RequestKind } from '../requestKind.js'
+import type { Route } from '../route.js'
+import type { RouterConfiguration } from '../routerConfiguration.js'
+
+/** Returns a route with the given fields. */
+export function testRoute(fields: Partial<Route> = {}): Route {
+  return {
+    name: 'route',
+    host: 'a.example',
+    pathPrefix: '/',
+    kind: RequestKind.Idempotent,
+    services: [{ service: 'service', weight: 1 }],
+    timeoutMs: 1_000,
+    targetLatencyMs: 100,
+    targetGapMs: 100,
+    priority: 1,
+    maxAttempts: 2,
+    anonymous: true,
+    cachesPrompts: false,
+    resumable: false,
+    ...fields,
+  }
+}
+
+/** Returns a configuration of one version. */
+export function testConfiguration(
+  version: number,
+  fields: Partial<RouterConfiguration> = {},
+): RouterConfiguration {
+  return {
+    version,
+    routes: [testRoute()],
+    services: [{ name: 'service', connectionLimit: 100, cacheTokens: 0 }],
+    limits: {
+      maxBodyBytes: 1_000,
+      headerTimeoutMs: 1_000,
+      idleTimeoutMs: 1_000,
+    },
+    ...fields,
+  }
+}
--- /dev/null
+++ b/packages/router/src/node/limits/__tests__/createRetryAllowance.test.ts
@@ -0,0 +1,68 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import { createRetryAllowance } from '../createRetryAllowance.js'
+
+const BOUNDS = { ratio: 0.2, allowance: 54, windowS: 10 }
+const WINDOW_MS = BOUNDS.windowS * 1_000
+
+interface Step {
+  readonly afterMs: number
+  readonly router: number
+  readonly isRequest: boolean
+}
+
+const step: fc.Arbitrary<Step> = fc.record({
+  afterMs: fc.nat(200),
+  router: fc.nat(2),
+  isRequest: fc.boolean(),
+})
+
+function countIn(times: readonly number[], untilMs: number): number {
+  return times.filter((at) => at > untilMs - WINDOW_MS && at <= untilMs).length
+}
+
+describe('createRetryAllowance', () => {
+  it('keeps the second sends of three routers within the bound of every window', () => {
+    fc.assert(
+      fc.property(
+        fc.array(step, { minLength: 200, maxLength: 900 }),
+        (steps) => {
+          const routers = [0, 1, 2].map(() =>
+            createRetryAllowance({ bounds: () => BOUNDS, routers: () => 3 }),
+          )
+          const requests: number[] = []
+          const sends: number[] = []
+          let nowMs = 0
+          for (const { afterMs, router, isRequest } of steps) {
+            nowMs += afterMs
+            if (isRequest) {
+              requests.push(nowMs)
+              routers[router]?.noteRequest(nowMs)
+            } else if (routers[router]?.take(nowMs)) {
+              sends.push(nowMs)
+              const earned = Math.max(
+                countIn(requests, nowMs),
+                countIn(requests, nowMs - WINDOW_MS / 2),
+                countIn(requests, nowMs - WINDOW_MS),
+              )
+              const bound = BOUNDS.ratio * earned + BOUNDS.allowance
+              assert.ok(countIn(sends, nowMs) <= bound)
+            }
+          }
+        },
+      ),
+      { seed: 5, numRuns: 60 },
+    )
+  })
+
+  it('lets a fleet without requests send some, and not without end', () => {
+    const allowance = createRetryAllowance({
+      bounds: () => BOUNDS,
+      routers: () => 1,
+    })
+    let taken = 0
+    for (let i = 0; i < 200; i += 1) if (allowance.take(1_000)) taken += 1
+    assert.ok(taken > 0 && taken <= BOUNDS.allowance)
+  })
+})
--- /dev/null
+++ b/packages/router/src/node/peers/__tests__/createPeerTable.test.ts
@@ -0,0 +1,73 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { createPeerTable } from '../createPeerTable.js'
+import { decodeDigest, encodeDigest, type PeerDigest } from '../peerDigest.js'
+
+const OPTIONS = { lostMs: 2_000, probeMs: 1_000, forgetMs: 60_000 }
+
+function digest(fields: Partial<PeerDigest> = {}): PeerDigest {
+  return {
+    router: 'r1',
+    incarnation: 'first',
+    sequence: 1,
+    port: 7_000,
+    configurationVersion: 4,
+    targetsAgeMs: 10,
+    stopping: false,
+    inFlight: { t1: 2 },
+    ...fields,
+  }
+}
+
+describe('createPeerTable', () => {
+  it('ignores digests that were overtaken', () => {
+    const table = createPeerTable(OPTIONS)
+    assert.ok(table.heard(digest({ sequence: 5 }), '10.0.0.1', 0))
+    assert.ok(!table.heard(digest({ sequence: 4 }), '10.0.0.1', 1))
+    assert.ok(!table.heard(digest({ sequence: 5 }), '10.0.0.1', 2))
+  })
+
+  it('believes a restarted peer, whose sequence begins again', () => {
+    const table = createPeerTable(OPTIONS)
+    table.heard(digest({ sequence: 50 }), '10.0.0.1', 0)
+    const restarted = digest({ sequence: 1, incarnation: 'second' })
+    assert.ok(table.heard(restarted, '10.0.0.2', 1))
+    assert.equal(table.live(1)[0]?.address.host, '10.0.0.2')
+  })
+
+  it('goes on telling a lost peer, at longer intervals, so that it finds the fleet again', () => {
+    const table = createPeerTable(OPTIONS)
+    table.heard(digest(), '10.0.0.1', 0)
+    assert.equal(table.due(200).length, 1)
+    assert.equal(table.live(5_000).length, 0)
+    assert.equal(table.due(5_000).length, 1)
+    assert.equal(table.due(5_500).length, 0)
+    assert.equal(table.due(6_000).length, 1)
+  })
+
+  it('tells a listed peer that was never heard', () => {
+    const table = createPeerTable(OPTIONS)
+    table.listed('r2', { host: '10.0.0.2', port: 7_000 }, 0)
+    assert.equal(table.due(0)[0]?.router, 'r2')
+    assert.equal(table.live(0).length, 0)
+  })
+
+  it('counts no peer that stops as live, and forgets long silent ones', () => {
+    const table = createPeerTable(OPTIONS)
+    table.heard(digest({ stopping: true }), '10.0.0.1', 0)
+    assert.equal(table.live(0).length, 0)
+    assert.equal(table.expire(60_001)[0]?.router, 'r1')
+    assert.equal(table.due(60_002).length, 0)
+  })
+})
+
+describe('decodeDigest', () => {
+  it('reads what was written', () => {
+    assert.deepEqual(decodeDigest(encodeDigest(digest())), digest())
+  })
+
+  it('takes no other datagram for a digest', () => {
+    for (const text of ['', '{', '{}', '[]', '{"router":1}'])
+      assert.equal(decodeDigest(Buffer.from(text)), undefined)
+  })
+})
--- a/packages/router/src/node/peers/createPeerStateServer.ts
+++ b/packages/router/src/node/peers/createPeerStateServer.ts
@@ -9,6 +9,7 @@
 
 /** Lends this router's state to its peers. */
 export interface PeerStateServer {
+  readonly address: PeerAddress
   close(): void
 }
 
@@ -25,8 +26,8 @@
     }
     sendJson(res, 200, stateSince(Number(url.searchParams.get('known') ?? 0)))
   })
-  await listen(server, address)
   return {
+    address: await listen(server, address),
     close() {
       server.close()
       server.closeAllConnections()
--- a/packages/router/src/node/peers/createPeers.ts
+++ b/packages/router/src/node/peers/createPeers.ts
@@ -49,8 +49,8 @@
 /** Starts exchanging digests; rejects when the address is in use. */
 export async function createPeers(options: PeersOptions): Promise<Peers> {
   const { settings, keeper, view, load, log, now } = options
+  const listenAddress = settings.listen.peers
   const { id: router } = settings.router
-  const address = settings.listen.peers
   let sequence = 0
   const table = createPeerTable({
     lostMs: constants.PEER_LOST_MS,
@@ -64,7 +64,7 @@
       router,
       incarnation: options.incarnation,
       sequence,
-      port: address.port,
+      port: server.address.port,
       configurationVersion: keeper.version,
       targetsAgeMs: finiteOrNull(options.targetsAgeMs()),
       stopping: options.isStopping(),
@@ -93,10 +93,7 @@
     },
     log,
   })
-  const socket = await createDigestSocket(address, onDigest, (error) => {
-    log.write(LogEvent.PeerFailed, { reason: error.message })
-  })
-  const server = await createPeerStateServer(address, (knownVersion) => {
+  const server = await createPeerStateServer(listenAddress, (knownVersion) => {
     const configuration = keeper.current?.configuration
     const isNewer = configuration && configuration.version > knownVersion
     return {
@@ -105,6 +102,11 @@
       targetsAgeMs: finiteOrNull(options.targetsAgeMs()),
     }
   })
+  // Datagrams come to the same port.
+  const { address } = server
+  const socket = await createDigestSocket(address, onDigest, (error) => {
+    log.write(LogEvent.PeerFailed, { reason: error.message })
+  })
 
   function tell(): void {
     const due = table.due(now())
--- /dev/null
+++ b/packages/router/src/node/routing/__tests__/choosePlace.test.ts
@@ -0,0 +1,92 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import type { Target } from '../../targets/target.js'
+import { choosePlace } from '../choosePlace.js'
+
+/** Times the mean load, and requests above it, that a target may hold. */
+const LOAD_FACTOR = 2
+const LOAD_MARGIN = 3
+
+function targets(count: number, slots = 8): Target[] {
+  return Array.from({ length: count }, (_, i) => ({
+    id: `t${i}`,
+    service: 's',
+    host: '10.0.0.1',
+    port: i,
+    dataCentre: 'dc',
+    slots,
+    draining: false,
+  }))
+}
+
+describe('choosePlace', () => {
+  it('sends what shares a prompt to one target while loads allow', () => {
+    const question = {
+      targets: targets(13),
+      load: () => 3,
+      affinity: 'prompt',
+      dataCentre: 'dc',
+    }
+    const first = choosePlace({ ...question, spread: '1' })
+    const second = choosePlace({ ...question, spread: '2' })
+    assert.equal(first?.id, second?.id)
+  })
+
+  it('never places above the bound on load', () => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.nat(60), { minLength: 1, maxLength: 13 }),
+        fc.string(),
+        fc.boolean(),
+        (loads, affinity, hasAffinity) => {
+          const list = targets(loads.length)
+          const load = (id: string) => loads[Number(id.slice(1))] ?? 0
+          const place = choosePlace({
+            targets: list,
+            load,
+            spread: 'x',
+            dataCentre: 'dc',
+            ...(hasAffinity && { affinity }),
+          })
+          assert.ok(place)
+          const mean = loads.reduce((a, b) => a + b, 0) / loads.length
+          const bound = LOAD_FACTOR * mean + LOAD_MARGIN
+          assert.ok(load(place.id) + 1 <= bound)
+        },
+      ),
+      { seed: 9, numRuns: 500 },
+    )
+  })
+
+  it('sends hot prompts that overflow to the same next target', () => {
+    const list = targets(6)
+    const question = { targets: list, affinity: 'hot', dataCentre: 'dc' }
+    const home = choosePlace({ ...question, spread: '1', load: () => 0 })
+    const load = (id: string) => (id === home?.id ? 50 : 1)
+    const next = choosePlace({ ...question, spread: '1', load })
+    const other = choosePlace({ ...question, spread: '2', load })
+    assert.notEqual(next?.id, home?.id)
+    assert.equal(next?.id, other?.id)
+  })
+
+  it('spreads what shares nothing over equal targets', () => {
+    const list = targets(3)
+    const seen = new Set<string | undefined>()
+    for (let i = 0; i < 50; i += 1)
+      seen.add(
+        choosePlace({
+          targets: list,
+          load: () => 0,
+          spread: String(i),
+          dataCentre: 'dc',
+        })?.id,
+      )
+    assert.equal(seen.size, 3)
+  })
+
+  it('finds no place among no targets', () => {
+    const question = { targets: [], load: () => 0, spread: 'x', dataCentre: 'dc' }
+    assert.equal(choosePlace(question), undefined)
+  })
+})
--- /dev/null
+++ b/packages/router/src/node/targets/__tests__/createTargetView.test.ts
@@ -0,0 +1,59 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { createTargetView } from '../createTargetView.js'
+import type { Target } from '../target.js'
+
+const REJOIN_MS = 2_000
+
+function target(id: string, fields: Partial<Target> = {}): Target {
+  return {
+    id,
+    service: 's',
+    host: '10.0.0.1',
+    port: 1,
+    dataCentre: 'dc',
+    slots: 4,
+    draining: false,
+    ...fields,
+  }
+}
+
+const ids = (targets: readonly Target[]): string[] =>
+  targets.map(({ id }) => id)
+
+describe('createTargetView', () => {
+  it('gives no work to a target that leaves, at once', () => {
+    const view = createTargetView(REJOIN_MS)
+    view.put(target('a'))
+    view.put(target('b'))
+    view.put(target('a', { draining: true }))
+    assert.deepEqual(ids(view.ready('s')), ['b'])
+    assert.equal(view.find('a')?.draining, true)
+  })
+
+  it('drops a target whose entry went', () => {
+    const view = createTargetView(REJOIN_MS)
+    view.replace(new Map([['a', target('a')]]), 0)
+    view.replace(new Map(), 1)
+    assert.deepEqual(view.ready('s'), [])
+  })
+
+  it('waits after an outage for entries that it lost', () => {
+    const view = createTargetView(REJOIN_MS)
+    view.replace(new Map([['a', target('a')], ['b', target('b')]]), 0)
+    view.regained(10_000)
+    view.replace(new Map(), 10_001)
+    assert.deepEqual(ids(view.ready('s')), ['a', 'b'])
+    view.put(target('a'))
+    view.expire(10_000 + REJOIN_MS)
+    assert.deepEqual(ids(view.ready('s')), ['a'])
+  })
+
+  it('takes a target that leaves out, also while it waits', () => {
+    const view = createTargetView(REJOIN_MS)
+    view.put(target('a'))
+    view.regained(0)
+    view.put(target('a', { draining: true }))
+    assert.deepEqual(view.ready('s'), [])
+  })
+})
