Tell peers where prompts are cached and fetch them from there

Ruled out: eviction (0.15 M of 0.79 M tokens in use). Change: routers tell placements with their digests; a prompt stays with its holder under the load bound; a target that must take it over fetches it from the holder.

--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -12,6 +12,7 @@
 import { affinityKey } from '../routing/affinityKey.js'
 import { choosePlace } from '../routing/choosePlace.js'
 import type { FleetLoad } from '../routing/createFleetLoad.js'
+import type { Placements } from '../routing/createPlacements.js'
 import type { TargetAnswer, TargetClient } from '../targets/createTargetClient.js'
 import type { TargetView } from '../targets/createTargetView.js'
 import type { Target } from '../targets/target.js'
@@ -39,9 +40,11 @@
 
 /** What the dispatcher works with. */
 export interface DispatcherOptions {
-  readonly dataCentre: string
   readonly view: TargetView
   readonly load: FleetLoad
+  readonly placements: Placements
+  /** Whether a service's targets fetch cached prompts from each other. */
+  readonly sharesCache: (service: string) => boolean
   readonly health: TargetHealth
   readonly client: TargetClient
   readonly protocol: TargetProtocol
@@ -77,7 +80,7 @@
 
 /** Creates a dispatcher. */
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
-  const { view, load, health, client, log, metrics, now } = options
+  const { view, load, placements, health, client, log, metrics, now } = options
 
   function isRepeatable({ route }: Call): boolean {
     return (
@@ -91,20 +94,35 @@
     return isRepeatable(call) && runs < call.route.maxAttempts
   }
 
+  function keyOf({ request, route }: Call): string | undefined {
+    return route.cachesPrompts ? affinityKey(request.promptParts) : undefined
+  }
+
+  /** Returns a target that holds the call's prompt, where the one chosen does not. */
+  function findSource(call: Call, chosen: Target): Target | undefined {
+    const key = keyOf(call)
+    if (key === undefined || !options.sharesCache(call.service)) return undefined
+    const holders = placements.holders(key)
+    if (holders.includes(chosen.id)) return undefined
+    for (const id of holders) {
+      const holder = view.find(id)
+      if (holder) return holder
+    }
+    return undefined
+  }
+
   function place(call: Call, tried: ReadonlySet<string>): Target | undefined {
     const nowMs = now()
-    const ready = view.ready(call.service)
+    const ready = view.ready(call.service, nowMs)
     const untried = ready.filter(({ id }) => !tried.has(id))
     const eligible = health.eligible(call.service, ready, nowMs)
     const open = eligible.filter(({ id }) => !tried.has(id))
-    const key = call.route.cachesPrompts
-      ? affinityKey(call.request.promptParts)
-      : undefined
+    const key = keyOf(call)
     return choosePlace({
       targets: open.length > 0 ? open : untried,
       load: (id) => load.total(id, nowMs),
       spread: call.request.attemptId,
-      dataCentre: options.dataCentre,
+      holders: key === undefined ? [] : placements.holders(key),
       ...(key !== undefined && { affinity: key }),
     })
   }
@@ -168,7 +186,7 @@
     { head }: TargetAnswer,
   ): boolean {
     if (head.status < SERVER_ERROR_FROM || progress.relay.begun) return false
-    return mayRunAgain(call, progress) && view.ready(call.service).length > 1
+    return mayRunAgain(call, progress) && view.ready(call.service, now()).length > 1
   }
 
   async function answered(
@@ -219,6 +237,8 @@
     const { customer, route, signal } = call
     const lastEventId = progress.relay.lastEventId
     const sentAtMs = now()
+    const key = keyOf(call)
+    const fetchFrom = findSource(call, target)
     load.started(target.id)
     try {
       const result = await client.send({
@@ -233,10 +253,12 @@
           ...(route.cachesPrompts && {
             priority: customer?.priority ?? route.priority,
           }),
+          ...(fetchFrom && { fetchFrom }),
           ...(lastEventId !== undefined && { lastEventId }),
         },
       })
       if (result.isErr()) return failed(call, target, progress, result.error)
+      if (key !== undefined) placements.placed(key, target.id)
       metrics.headSeen(call.service, (now() - sentAtMs) / 1_000)
       return await answered(call, target, progress, result.value)
     } finally {
--- a/packages/router/src/node/configuration/__tests__/testConfiguration.ts
+++ b/packages/router/src/node/configuration/__tests__/testConfiguration.ts
@@ -30,7 +30,14 @@
   return {
     version,
     routes: [testRoute()],
-    services: [{ name: 'service', connectionLimit: 100, cacheTokens: 0 }],
+    services: [
+      {
+        name: 'service',
+        connectionLimit: 100,
+        cacheTokens: 0,
+        sharesCache: false,
+      },
+    ],
     limits: {
       maxBodyBytes: 1_000,
       headerTimeoutMs: 1_000,
--- a/packages/router/src/node/constants.ts
+++ b/packages/router/src/node/constants.ts
@@ -32,3 +32,5 @@
 export const STOP_CHECK_MS = 50
 /** Routers that share the retry allowance while no peer is known. */
 export const ROUTERS_WHEN_ALONE = 10
+/** Prompts whose targets a router remembers; a prompt takes some 200 bytes. */
+export const MAX_PLACEMENTS = 10_000
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -18,9 +18,10 @@
 import { LogEvent } from './logging/logEvent.js'
 import { createMetricsServer } from './metrics/createMetricsServer.js'
 import { createRouterMetrics } from './metrics/createRouterMetrics.js'
-import { createPeers } from './peers/createPeers.js'
+import { createPeers, type Peers } from './peers/createPeers.js'
 import type { RouterPorts } from './routerPorts.js'
 import { createFleetLoad } from './routing/createFleetLoad.js'
+import { createPlacements } from './routing/createPlacements.js'
 import type { RouterSettings } from './settings/settingsSchema.js'
 import { createSourceFollower } from './sources/createSourceFollower.js'
 import { createTargetClient } from './targets/createTargetClient.js'
@@ -51,6 +52,7 @@
   const keeper = createConfigurationKeeper()
   const view = createTargetView(constants.REJOIN_MS)
   const load = createFleetLoad(constants.DIGEST_STALE_MS)
+  const placements = createPlacements(constants.MAX_PLACEMENTS)
   const metrics = createRouterMetrics()
   const health = createTargetHealth(HEALTH_OPTIONS, (target, change) => {
     log.write(LogEvent.TargetHealth, { target: target.id, change })
@@ -87,19 +89,22 @@
       })
     },
   })
+  let peers: Peers | undefined
   const targets = followTargets({
     source: ports.targets,
     view,
     pauseMs: settings.bounds.drainMs / constants.READINGS_PER_DRAIN,
+    unreadAtMs: () => peers?.unreadAtMs() ?? now(),
     now,
     log,
   })
-  const peers = await createPeers({
+  peers = await createPeers({
     settings,
     incarnation,
     keeper,
     view,
     load,
+    placements,
     directory: ports.directory,
     targetsAgeMs: () => targets.ageMs(),
     isStopping: () => stopping,
@@ -121,7 +126,7 @@
         allowance: settings.bounds.retryAllowance,
         windowS: settings.bounds.retryWindowS,
       }),
-      routers: () => peers.routers(),
+      routers: () => peers?.routers() ?? constants.ROUTERS_WHEN_ALONE,
     })
     allowances.set(service, allowance)
     return allowance
@@ -137,9 +142,11 @@
     keeper,
     protocol: ports.callerProtocol,
     dispatcher: createDispatcher({
-      dataCentre: settings.router.dataCentre,
       view,
       load,
+      placements,
+      sharesCache: (service) =>
+        keeper.current?.services.get(service)?.sharesCache ?? false,
       health,
       client,
       protocol: ports.targetProtocol,
@@ -178,7 +185,7 @@
     const startedAtMs = now()
     log.write(LogEvent.Stopping, { inFlight: callers.inFlight })
     callers.closeAfterAnswers()
-    peers.tell()
+    peers?.tell()
     const gracePeriodMs = settings.bounds.gracePeriodS * 1_000
     const lastMs = startedAtMs + gracePeriodMs - constants.STOP_MARGIN_MS
     await sleep(Math.min(constants.BALANCER_DELAY_MS, gracePeriodMs / 2))
@@ -188,7 +195,7 @@
     callers.close()
     configurations.stop()
     targets.stop()
-    peers.close()
+    peers?.close()
     client.close()
     metricsServer?.close()
     await closeServer(readiness)
--- a/packages/router/src/node/peers/__tests__/createPeerTable.test.ts
+++ b/packages/router/src/node/peers/__tests__/createPeerTable.test.ts
@@ -15,6 +15,7 @@
     targetsAgeMs: 10,
     stopping: false,
     inFlight: { t1: 2 },
+    placed: [['prompt', 't1']],
     ...fields,
   }
 }
--- a/packages/router/src/node/peers/createPeers.ts
+++ b/packages/router/src/node/peers/createPeers.ts
@@ -5,6 +5,7 @@
 import { LogEvent } from '../logging/logEvent.js'
 import type { RouterDirectory } from '../routerPorts.js'
 import type { FleetLoad } from '../routing/createFleetLoad.js'
+import type { Placements } from '../routing/createPlacements.js'
 import type { RouterSettings } from '../settings/settingsSchema.js'
 import type { TargetView } from '../targets/createTargetView.js'
 import type { Target } from '../targets/target.js'
@@ -22,6 +23,7 @@
   readonly keeper: ConfigurationKeeper
   readonly view: TargetView
   readonly load: FleetLoad
+  readonly placements: Placements
   readonly directory: RouterDirectory
   /** Milliseconds since this router read the list of targets itself. */
   readonly targetsAgeMs: () => number
@@ -37,6 +39,8 @@
 export interface Peers {
   /** Routers in the fleet, this one included; a guess on the safe side while alone. */
   routers(): number
+  /** Last time at which no peer had read the list of targets lately, in milliseconds. */
+  unreadAtMs(): number
   /** Tells every peer at once. */
   tell(): void
   close(): void
@@ -48,10 +52,11 @@
 
 /** Starts exchanging digests; rejects when the address is in use. */
 export async function createPeers(options: PeersOptions): Promise<Peers> {
-  const { settings, keeper, view, load, log, now } = options
+  const { settings, keeper, view, load, placements, log, now } = options
   const listenAddress = settings.listen.peers
   const { id: router } = settings.router
   let sequence = 0
+  let unreadAtMs = now()
   const table = createPeerTable({
     lostMs: constants.PEER_LOST_MS,
     probeMs: constants.PEER_PROBE_MS,
@@ -69,6 +74,7 @@
       targetsAgeMs: finiteOrNull(options.targetsAgeMs()),
       stopping: options.isStopping(),
       inFlight: Object.fromEntries(load.own()),
+      placed: placements.takeNews(),
     }
   }
 
@@ -78,6 +84,7 @@
     if (!table.heard(heard, host, now())) return
     if (isFirst) log.write(LogEvent.PeerFound, { peer: heard.router })
     load.heard(heard.router, new Map(Object.entries(heard.inFlight)), now())
+    placements.heard(heard.placed)
     borrower.check()
   }
 
@@ -86,7 +93,9 @@
     targetsAgeMs: options.targetsAgeMs,
     borrowAfterMs: constants.BORROW_AFTER_MS,
     peers: () => table.live(now()),
-    onState: ({ configuration, targets, targetsAgeMs }, from) => {
+    onState: (state, from) => {
+      const { configuration, targets, targetsAgeMs } = state
+      placements.heard(state.placements)
       if (configuration) options.onConfiguration(configuration, from)
       const isOlder = (targetsAgeMs ?? Infinity) >= options.targetsAgeMs()
       if (!isOlder) options.onTargets(targets)
@@ -100,6 +109,7 @@
       ...(isNewer && { configuration }),
       targets: [...view.all()],
       targetsAgeMs: finiteOrNull(options.targetsAgeMs()),
+      placements: placements.all(),
     }
   })
   // Datagrams come to the same port.
@@ -108,7 +118,18 @@
     log.write(LogEvent.PeerFailed, { reason: error.message })
   })
 
+  /** Age of the newest reading of the list of targets among peers. */
+  function newestReadingMs(): number {
+    let newestMs = Infinity
+    for (const { digest: last, heardAtMs } of table.live(now())) {
+      const ageMs = (last?.targetsAgeMs ?? Infinity) + now() - heardAtMs
+      newestMs = Math.min(newestMs, ageMs)
+    }
+    return newestMs
+  }
+
   function tell(): void {
+    if (newestReadingMs() > constants.BORROW_AFTER_MS) unreadAtMs = now()
     const due = table.due(now())
     socket.send(
       digest(),
@@ -135,6 +156,7 @@
       const live = table.live(now()).length
       return live > 0 ? live + 1 : constants.ROUTERS_WHEN_ALONE
     },
+    unreadAtMs: () => unreadAtMs,
     tell,
     close() {
       clearInterval(telling)
--- a/packages/router/src/node/peers/createStateBorrower.ts
+++ b/packages/router/src/node/peers/createStateBorrower.ts
@@ -35,9 +35,12 @@
 ): StateBorrower {
   const { version, targetsAgeMs, borrowAfterMs, peers, onState, log } = options
   let asking = false
+  let hasAsked = false
 
   function hasNewer({ digest }: Peer): boolean {
     if (!digest) return false
+    // A router that has just started learns where prompts are cached.
+    if (!hasAsked) return true
     if (digest.configurationVersion > version()) return true
     const ageMs = digest.targetsAgeMs ?? Infinity
     return targetsAgeMs() > borrowAfterMs && ageMs < borrowAfterMs
@@ -51,8 +54,10 @@
       timeoutMs: ANSWER_TIMEOUT_MS,
     })
     const state = reply.isOk() ? decodePeerState(reply.value.body) : undefined
-    if (state) onState(state, router)
-    else log.write(LogEvent.PeerFailed, { router, reason: 'no state in time' })
+    if (state) {
+      hasAsked = true
+      onState(state, router)
+    } else log.write(LogEvent.PeerFailed, { router, reason: 'no state in time' })
   }
 
   return {
--- a/packages/router/src/node/peers/peerDigest.ts
+++ b/packages/router/src/node/peers/peerDigest.ts
@@ -13,6 +13,8 @@
   stopping: v.boolean(),
   /** Requests in flight by target id. */
   inFlight: v.record(v.string(), v.number()),
+  /** Prompts sent to targets since the last digest. */
+  placed: v.array(v.pipe(v.tuple([v.string(), v.string()]), v.readonly())),
 })
 
 /** What a router tells its peers several times a second. */
--- a/packages/router/src/node/peers/peerState.ts
+++ b/packages/router/src/node/peers/peerState.ts
@@ -1,6 +1,7 @@
 import * as v from 'valibot'
 import { RequestKind } from '../configuration/requestKind.js'
 import type { RouterConfiguration } from '../configuration/routerConfiguration.js'
+import type { Placement } from '../routing/createPlacements.js'
 import type { Target } from '../targets/target.js'
 
 const routeSchema = v.object({
@@ -27,6 +28,7 @@
       name: v.string(),
       connectionLimit: v.number(),
       cacheTokens: v.number(),
+      sharesCache: v.boolean(),
     }),
   ),
   customers: v.exactOptional(
@@ -60,6 +62,7 @@
   targets: v.array(targetSchema),
   /** Milliseconds since the router read the list of targets itself; null before the first time. */
   targetsAgeMs: v.nullable(v.number()),
+  placements: v.array(v.tuple([v.string(), v.string()])),
 })
 
 /** What a router lends to a peer that cannot read its sources. */
@@ -67,6 +70,8 @@
   readonly configuration?: RouterConfiguration
   readonly targets: readonly Target[]
   readonly targetsAgeMs: number | null
+  /** Where prompts are cached. */
+  readonly placements: readonly Placement[]
 }
 
 /** Reads a peer's answer; undefined where it is none. */
--- a/packages/router/src/node/routing/__tests__/choosePlace.test.ts
+++ b/packages/router/src/node/routing/__tests__/choosePlace.test.ts
@@ -26,7 +26,7 @@
       targets: targets(13),
       load: () => 3,
       affinity: 'prompt',
-      dataCentre: 'dc',
+      holders: [],
     }
     const first = choosePlace({ ...question, spread: '1' })
     const second = choosePlace({ ...question, spread: '2' })
@@ -46,7 +46,7 @@
             targets: list,
             load,
             spread: 'x',
-            dataCentre: 'dc',
+            holders: [],
             ...(hasAffinity && { affinity }),
           })
           assert.ok(place)
@@ -61,7 +61,7 @@
 
   it('sends hot prompts that overflow to the same next target', () => {
     const list = targets(6)
-    const question = { targets: list, affinity: 'hot', dataCentre: 'dc' }
+    const question = { targets: list, affinity: 'hot', holders: [] }
     const home = choosePlace({ ...question, spread: '1', load: () => 0 })
     const load = (id: string) => (id === home?.id ? 50 : 1)
     const next = choosePlace({ ...question, spread: '1', load })
@@ -70,6 +70,28 @@
     assert.equal(next?.id, other?.id)
   })
 
+  it('stays with the target that holds a prompt when others join', () => {
+    const before = { targets: targets(4), load: () => 2, holders: [] }
+    for (let i = 0; i < 40; i += 1) {
+      const key = { affinity: `prompt ${i}`, spread: String(i) }
+      const home = choosePlace({ ...before, ...key })
+      const after = { ...before, targets: targets(8), holders: [home?.id ?? ''] }
+      assert.equal(choosePlace({ ...after, ...key })?.id, home?.id)
+    }
+  })
+
+  it('leaves a holder that is over the bound', () => {
+    const load = (id: string) => (id === 't0' ? 40 : 1)
+    const place = choosePlace({
+      targets: targets(6),
+      load,
+      affinity: 'prompt',
+      holders: ['t0'],
+      spread: '1',
+    })
+    assert.notEqual(place?.id, 't0')
+  })
+
   it('spreads what shares nothing over equal targets', () => {
     const list = targets(3)
     const seen = new Set<string | undefined>()
@@ -79,14 +101,14 @@
           targets: list,
           load: () => 0,
           spread: String(i),
-          dataCentre: 'dc',
+          holders: [],
         })?.id,
       )
     assert.equal(seen.size, 3)
   })
 
   it('finds no place among no targets', () => {
-    const question = { targets: [], load: () => 0, spread: 'x', dataCentre: 'dc' }
+    const question = { targets: [], load: () => 0, spread: 'x', holders: [] }
     assert.equal(choosePlace(question), undefined)
   })
 })
--- a/packages/router/src/node/targets/__tests__/createTargetView.test.ts
+++ b/packages/router/src/node/targets/__tests__/createTargetView.test.ts
@@ -4,6 +4,7 @@
 import type { Target } from '../target.js'
 
 const REJOIN_MS = 2_000
+const NOW_MS = 10_002
 
 function target(id: string, fields: Partial<Target> = {}): Target {
   return {
@@ -27,7 +28,7 @@
     view.put(target('a'))
     view.put(target('b'))
     view.put(target('a', { draining: true }))
-    assert.deepEqual(ids(view.ready('s')), ['b'])
+    assert.deepEqual(ids(view.ready('s', NOW_MS)), ['b'])
     assert.equal(view.find('a')?.draining, true)
   })
 
@@ -35,7 +36,7 @@
     const view = createTargetView(REJOIN_MS)
     view.replace(new Map([['a', target('a')]]), 0)
     view.replace(new Map(), 1)
-    assert.deepEqual(view.ready('s'), [])
+    assert.deepEqual(view.ready('s', NOW_MS), [])
   })
 
   it('waits after an outage for entries that it lost', () => {
@@ -43,10 +44,11 @@
     view.replace(new Map([['a', target('a')], ['b', target('b')]]), 0)
     view.regained(10_000)
     view.replace(new Map(), 10_001)
-    assert.deepEqual(ids(view.ready('s')), ['a', 'b'])
+    assert.deepEqual(ids(view.ready('s', NOW_MS)), ['a', 'b'])
     view.put(target('a'))
-    view.expire(10_000 + REJOIN_MS)
-    assert.deepEqual(ids(view.ready('s')), ['a'])
+    const lastMs = 10_000 + REJOIN_MS
+    assert.deepEqual(ids(view.ready('s', lastMs - 0.1)), ['a', 'b'])
+    assert.deepEqual(ids(view.ready('s', lastMs)), ['a'])
   })
 
   it('takes a target that leaves out, also while it waits', () => {
@@ -54,6 +56,6 @@
     view.put(target('a'))
     view.regained(0)
     view.put(target('a', { draining: true }))
-    assert.deepEqual(view.ready('s'), [])
+    assert.deepEqual(view.ready('s', NOW_MS), [])
   })
 })
--- a/packages/router/src/node/targets/createTargetView.ts
+++ b/packages/router/src/node/targets/createTargetView.ts
@@ -3,7 +3,7 @@
 /** The targets that may get work, as far as this router knows. */
 export interface TargetView {
   /** Returns the targets of a service that are not leaving. */
-  ready(service: string): readonly Target[]
+  ready(service: string, nowMs: number): readonly Target[]
   /** Returns a target that is listed, leaving or not. */
   find(id: string): Target | undefined
   all(): Iterable<Target>
@@ -13,8 +13,6 @@
   remove(id: string, nowMs: number): void
   /** Notes that the list can be read again after an outage. */
   regained(nowMs: number): void
-  /** Removes targets whose entry did not come back in time. */
-  expire(nowMs: number): void
 }
 
 /**
@@ -56,8 +54,15 @@
     else drop(id)
   }
 
+  /** Removes targets whose entry did not come back in time. */
+  function expire(nowMs: number): void {
+    if (missing.size === 0 || nowMs < rejoinUntilMs) return
+    for (const id of missing) drop(id)
+  }
+
   return {
-    ready(service) {
+    ready(service, nowMs) {
+      expire(nowMs)
       byService ??= index()
       return byService.get(service) ?? []
     },
@@ -72,9 +77,5 @@
     regained(nowMs) {
       rejoinUntilMs = nowMs + rejoinMs
     },
-    expire(nowMs) {
-      if (nowMs < rejoinUntilMs) return
-      for (const id of missing) drop(id)
-    },
   }
 }
--- a/packages/router/src/node/targets/followTargets.ts
+++ b/packages/router/src/node/targets/followTargets.ts
@@ -1,4 +1,4 @@
-import { REJOIN_MS, SHORT_OUTAGE_MS } from '../constants.js'
+import { SHORT_OUTAGE_MS } from '../constants.js'
 import type { DecisionLog } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
 import { createSourceFollower } from '../sources/createSourceFollower.js'
@@ -12,6 +12,8 @@
   readonly view: TargetView
   /** Milliseconds between two readings. */
   readonly pauseMs: number
+  /** Last time at which no peer could read the list either, in milliseconds. */
+  readonly unreadAtMs: () => number
   /** Steady clock, in milliseconds. */
   readonly now: () => number
   readonly log: DecisionLog
@@ -32,7 +34,6 @@
 export function followTargets(options: FollowTargetsOptions): TargetsFollower {
   const { source, view, now, log } = options
   let isKnown = false
-  let expiry: NodeJS.Timeout | undefined
 
   function put(target: Target): void {
     const known = view.find(target.id)
@@ -70,13 +71,8 @@
         source: 'targets',
         lostMs: Math.round(lostMs),
       })
-      if (lostMs < SHORT_OUTAGE_MS) return
-      view.regained(now())
-      clearTimeout(expiry)
-      expiry = setTimeout(() => {
-        view.expire(now())
-      }, REJOIN_MS)
-      expiry.unref()
+      const isShared = options.unreadAtMs() > now() - lostMs
+      if (lostMs > SHORT_OUTAGE_MS && isShared) view.regained(now())
     },
   })
 
@@ -86,8 +82,7 @@
     borrow(targets) {
       replace(new Map(targets.map((target) => [target.id, target])))
     },
-    stop() {
-      clearTimeout(expiry)
+    stop: () => {
       follower.stop()
     },
   }
--- a/packages/router/src/node/targets/targetProtocol.ts
+++ b/packages/router/src/node/targets/targetProtocol.ts
@@ -11,6 +11,8 @@
   readonly customer?: string
   /** 0 is the most urgent; undefined leaves it to the target. */
   readonly priority?: number
+  /** Another target, whose cache holds what the request shares with others. */
+  readonly fetchFrom?: Target
   /** Last event that the caller has, of a stream that goes on. */
   readonly lastEventId?: string
 }
