Have one router read the log for all, and doubt all after a pause

Ruled out: longer waits at the log (a silent connection then hides a leaving target for too long). Change: the router with the lowest name reads; the others take the news from digests that carry the version and a fingerprint of the list, and read for themselves once its reading is older than a second. No peer brings back a target that went or leaves. After a freeze, a suspension or a step of the time of day a router reads anew before it trusts or tells anything.

--- a/packages/router/src/node/constants.ts
+++ b/packages/router/src/node/constants.ts
@@ -16,10 +16,10 @@
 export const REJOIN_MS = 2_200
 /** Outages shorter than this, in milliseconds, lose no entries of targets. */
 export const SHORT_OUTAGE_MS = 1_000
-/** Milliseconds after which a peer's newer list of targets is borrowed. */
-export const BORROW_AFTER_MS = 1_500
+/** Age of a peer's reading, in milliseconds, up to which this router need not read; half of the time in which changes must be in force. */
+export const READER_AGE_MS = 1_000
 /** Readings of the list of targets within the time that a leaving one may still get work. */
-export const READINGS_PER_DRAIN = 3
+export const READINGS_PER_DRAIN = 4
 /** Milliseconds until a connection to a target must be open. */
 export const CONNECT_TIMEOUT_MS = 300
 /** Milliseconds that a connection to a target is kept without a request. */
@@ -34,3 +34,5 @@
 export const ROUTERS_WHEN_ALONE = 10
 /** Prompts whose targets a router remembers; a prompt takes some 200 bytes. */
 export const MAX_PLACEMENTS = 10_000
+/** Milliseconds without a turn of the loop after which a router doubts what it knew. */
+export const PAUSE_MS = 700
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -19,10 +19,12 @@
 import { createMetricsServer } from './metrics/createMetricsServer.js'
 import { createRouterMetrics } from './metrics/createRouterMetrics.js'
 import { createPeers, type Peers } from './peers/createPeers.js'
+import type { RouterKnowledge } from './peers/routerKnowledge.js'
 import type { RouterPorts } from './routerPorts.js'
 import { createFleetLoad } from './routing/createFleetLoad.js'
 import { createPlacements } from './routing/createPlacements.js'
 import type { RouterSettings } from './settings/settingsSchema.js'
+import { createPauseDetector } from './createPauseDetector.js'
 import { createSourceFollower } from './sources/createSourceFollower.js'
 import { createTargetClient } from './targets/createTargetClient.js'
 import { followTargets } from './targets/followTargets.js'
@@ -49,6 +51,7 @@
   let stopping = false
   const now = (): number => performance.now()
   const incarnation = randomUUID()
+  let peers: Peers | undefined
   const keeper = createConfigurationKeeper()
   const view = createTargetView(constants.REJOIN_MS)
   const load = createFleetLoad(constants.DIGEST_STALE_MS)
@@ -60,6 +63,7 @@
 
   function offer(configuration: RouterConfiguration, from: string): void {
     if (!keeper.offer(configuration)) return
+    peers?.tell()
     const { version, routes } = configuration
     log.write(LogEvent.ConfigurationInForce, {
       version,
@@ -72,6 +76,7 @@
     source: ports.configurations,
     pauseMs: 0,
     now,
+    isCovered: () => peers?.readConfigurations() ?? false,
     onListing: (values) => {
       for (const configuration of values.values())
         offer(configuration, 'listing')
@@ -89,33 +94,60 @@
       })
     },
   })
-  let peers: Peers | undefined
   const targets = followTargets({
     source: ports.targets,
     view,
     pauseMs: settings.bounds.drainMs / constants.READINGS_PER_DRAIN,
     unreadAtMs: () => peers?.unreadAtMs() ?? now(),
+    isCovered: () => peers?.readTargets() ?? false,
+    onChange: () => {
+      peers?.tell()
+    },
     now,
     log,
   })
+  const knowledge: RouterKnowledge = {
+    configurationVersion: () => keeper.version,
+    configurationReadMs: () => configurations.ageMs(),
+    targetsFingerprint: () => view.fingerprint(),
+    targetsReadMs: () => targets.readMs(),
+    targetsAgeMs: () => targets.ageMs(),
+    configurationSince(version) {
+      const newest = keeper.current?.configuration
+      return newest && newest.version > version ? newest : undefined
+    },
+    targets: () => [...view.all()],
+    takeConfiguration: offer,
+    takeTargets: (borrowed, ageMs) => {
+      targets.borrow(borrowed, ageMs)
+    },
+    confirmTargets: (ageMs) => {
+      targets.confirm(ageMs)
+    },
+  }
   peers = await createPeers({
     settings,
     incarnation,
-    keeper,
-    view,
+    knowledge,
     load,
     placements,
     directory: ports.directory,
-    targetsAgeMs: () => targets.ageMs(),
     isStopping: () => stopping,
-    onConfiguration: offer,
-    onTargets: (borrowed) => {
-      targets.borrow(borrowed)
-    },
     log,
     now,
   })
 
+  const pauses = createPauseDetector({
+    maxGapMs: constants.PAUSE_MS,
+    now,
+    epochNow: Date.now,
+  })
+  const watching = setInterval(() => {
+    if (!pauses.check()) return
+    log.write(LogEvent.Paused, { version: keeper.version })
+    targets.doubt()
+  }, constants.DIGEST_MS)
+
   const allowances = new Map<string, RetryAllowance>()
   function allowanceOf(service: string): RetryAllowance {
     const known = allowances.get(service)
@@ -193,6 +225,7 @@
     await waitForAnswers(lastMs)
     log.write(LogEvent.Stopped, { brokenOff: callers.inFlight })
     callers.close()
+    clearInterval(watching)
     configurations.stop()
     targets.stop()
     peers?.close()
--- a/packages/router/src/node/peers/createPeerTable.ts
+++ b/packages/router/src/node/peers/createPeerTable.ts
@@ -18,6 +18,8 @@
   listed(router: string, address: PeerAddress, nowMs: number): void
   /** Takes in a digest; returns whether it is new. */
   heard(digest: PeerDigest, host: string, nowMs: number): boolean
+  /** Returns a peer that was heard lately. */
+  find(router: string, nowMs: number): Peer | undefined
   /** Returns the peers that a digest is due for, and notes that it is sent. */
   due(nowMs: number): Peer[]
   /** Returns the peers heard lately that are not stopping. */
@@ -71,6 +73,10 @@
       })
       return true
     },
+    find(router, nowMs) {
+      const peer = peers.get(router)
+      return peer && isLive(peer, nowMs) ? peer : undefined
+    },
     due(nowMs) {
       const due: Peer[] = []
       for (const peer of peers.values()) {
--- a/packages/router/src/node/peers/createPeers.ts
+++ b/packages/router/src/node/peers/createPeers.ts
@@ -1,5 +1,3 @@
-import type { ConfigurationKeeper } from '../configuration/createConfigurationKeeper.js'
-import type { RouterConfiguration } from '../configuration/routerConfiguration.js'
 import * as constants from '../constants.js'
 import type { DecisionLog } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
@@ -7,29 +5,24 @@
 import type { FleetLoad } from '../routing/createFleetLoad.js'
 import type { Placements } from '../routing/createPlacements.js'
 import type { RouterSettings } from '../settings/settingsSchema.js'
-import type { TargetView } from '../targets/createTargetView.js'
-import type { Target } from '../targets/target.js'
 import { createDigestSocket } from './createDigestSocket.js'
 import { createPeerStateServer } from './createPeerStateServer.js'
-import { createPeerTable } from './createPeerTable.js'
+import { createPeerTable, type Peer } from './createPeerTable.js'
 import { createStateBorrower } from './createStateBorrower.js'
 import { joinDirectory } from './joinDirectory.js'
 import type { PeerDigest } from './peerDigest.js'
+import { isCovered, type ReadingAge } from './readerDuty.js'
+import type { RouterKnowledge } from './routerKnowledge.js'
 
 /** What the part for peers works with. */
 export interface PeersOptions {
   readonly settings: RouterSettings
   readonly incarnation: string
-  readonly keeper: ConfigurationKeeper
-  readonly view: TargetView
+  readonly knowledge: RouterKnowledge
   readonly load: FleetLoad
   readonly placements: Placements
   readonly directory: RouterDirectory
-  /** Milliseconds since this router read the list of targets itself. */
-  readonly targetsAgeMs: () => number
   readonly isStopping: () => boolean
-  readonly onConfiguration: (cfg: RouterConfiguration, from: string) => void
-  readonly onTargets: (targets: readonly Target[]) => void
   readonly log: DecisionLog
   /** Steady clock, in milliseconds. */
   readonly now: () => number
@@ -39,6 +32,10 @@
 export interface Peers {
   /** Routers in the fleet, this one included; a guess on the safe side while alone. */
   routers(): number
+  /** Whether peers read configurations for this router. */
+  readConfigurations(): boolean
+  /** Whether peers read the list of targets for this router. */
+  readTargets(): boolean
   /** Last time at which no peer had read the list of targets lately, in milliseconds. */
   unreadAtMs(): number
   /** Tells every peer at once. */
@@ -52,8 +49,7 @@
 
 /** Starts exchanging digests; rejects when the address is in use. */
 export async function createPeers(options: PeersOptions): Promise<Peers> {
-  const { settings, keeper, view, load, placements, log, now } = options
-  const listenAddress = settings.listen.peers
+  const { settings, knowledge, load, placements, log, now } = options
   const { id: router } = settings.router
   let sequence = 0
   let unreadAtMs = now()
@@ -62,6 +58,14 @@
     probeMs: constants.PEER_PROBE_MS,
     forgetMs: constants.PEER_FORGET_MS,
   })
+  const borrower = createStateBorrower({
+    knowledge,
+    onPlacements: (borrowed) => {
+      placements.heard(borrowed)
+    },
+    log,
+    now,
+  })
 
   function digest(): PeerDigest {
     sequence += 1
@@ -70,8 +74,11 @@
       incarnation: options.incarnation,
       sequence,
       port: server.address.port,
-      configurationVersion: keeper.version,
-      targetsAgeMs: finiteOrNull(options.targetsAgeMs()),
+      configurationVersion: knowledge.configurationVersion(),
+      configurationReadMs: finiteOrNull(knowledge.configurationReadMs()),
+      targetsFingerprint: knowledge.targetsFingerprint(),
+      targetsReadMs: finiteOrNull(knowledge.targetsReadMs()),
+      targetsAgeMs: finiteOrNull(knowledge.targetsAgeMs()),
       stopping: options.isStopping(),
       inFlight: Object.fromEntries(load.own()),
       placed: placements.takeNews(),
@@ -80,57 +87,42 @@
 
   function onDigest(heard: PeerDigest, host: string): void {
     if (heard.router === router) return
-    const isFirst = !table.live(now()).some((peer) => peer.router === heard.router)
+    const wasLive = table.find(heard.router, now()) !== undefined
     if (!table.heard(heard, host, now())) return
-    if (isFirst) log.write(LogEvent.PeerFound, { peer: heard.router })
+    if (!wasLive) log.write(LogEvent.PeerFound, { peer: heard.router })
     load.heard(heard.router, new Map(Object.entries(heard.inFlight)), now())
     placements.heard(heard.placed)
-    borrower.check()
+    const peer = table.find(heard.router, now())
+    if (peer) borrower.heard(peer)
   }
 
-  const borrower = createStateBorrower({
-    version: () => keeper.version,
-    targetsAgeMs: options.targetsAgeMs,
-    borrowAfterMs: constants.BORROW_AFTER_MS,
-    peers: () => table.live(now()),
-    onState: (state, from) => {
-      const { configuration, targets, targetsAgeMs } = state
-      placements.heard(state.placements)
-      if (configuration) options.onConfiguration(configuration, from)
-      const isOlder = (targetsAgeMs ?? Infinity) >= options.targetsAgeMs()
-      if (!isOlder) options.onTargets(targets)
+  const server = await createPeerStateServer(
+    settings.listen.peers,
+    (knownVersion) => {
+      const configuration = knowledge.configurationSince(knownVersion)
+      return {
+        ...(configuration && { configuration }),
+        targets: knowledge.targets(),
+        targetsAgeMs: finiteOrNull(knowledge.targetsAgeMs()),
+        placements: placements.all(),
+      }
     },
-    log,
-  })
-  const server = await createPeerStateServer(listenAddress, (knownVersion) => {
-    const configuration = keeper.current?.configuration
-    const isNewer = configuration && configuration.version > knownVersion
-    return {
-      ...(isNewer && { configuration }),
-      targets: [...view.all()],
-      targetsAgeMs: finiteOrNull(options.targetsAgeMs()),
-      placements: placements.all(),
-    }
-  })
+  )
   // Datagrams come to the same port.
   const { address } = server
   const socket = await createDigestSocket(address, onDigest, (error) => {
     log.write(LogEvent.PeerFailed, { reason: error.message })
   })
 
-  /** Age of the newest reading of the list of targets among peers. */
-  function newestReadingMs(): number {
-    let newestMs = Infinity
-    for (const { digest: last, heardAtMs } of table.live(now())) {
-      const ageMs = (last?.targetsAgeMs ?? Infinity) + now() - heardAtMs
-      newestMs = Math.min(newestMs, ageMs)
-    }
-    return newestMs
+  function readingAge(peer: Peer): number {
+    return (peer.digest?.targetsReadMs ?? Infinity) + now() - peer.heardAtMs
   }
 
   function tell(): void {
-    if (newestReadingMs() > constants.BORROW_AFTER_MS) unreadAtMs = now()
+    const youngest = Math.min(...table.live(now()).map(readingAge))
+    if (youngest > constants.SHORT_OUTAGE_MS) unreadAtMs = now()
     const due = table.due(now())
+    if (due.length === 0) return
     socket.send(
       digest(),
       due.map((peer) => peer.address),
@@ -151,11 +143,18 @@
     },
   })
 
+  function peersRead(ageOf: ReadingAge): boolean {
+    const live = table.live(now())
+    return isCovered(router, live, ageOf, constants.READER_AGE_MS, now())
+  }
+
   return {
     routers() {
       const live = table.live(now()).length
       return live > 0 ? live + 1 : constants.ROUTERS_WHEN_ALONE
     },
+    readConfigurations: () => peersRead((last) => last.configurationReadMs),
+    readTargets: () => peersRead((last) => last.targetsReadMs),
     unreadAtMs: () => unreadAtMs,
     tell,
     close() {
--- a/packages/router/src/node/peers/createStateBorrower.ts
+++ b/packages/router/src/node/peers/createStateBorrower.ts
@@ -1,74 +1,89 @@
 import { requestJson } from '@auburnbay/http-utils/requestJson'
 import type { DecisionLog } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
+import type { Placement } from '../routing/createPlacements.js'
 import type { Peer } from './createPeerTable.js'
 import { STATE_PATH } from './createPeerStateServer.js'
-import { decodePeerState, type PeerState } from './peerState.js'
+import { decodePeerState } from './peerState.js'
+import type { RouterKnowledge } from './routerKnowledge.js'
 
 /** Milliseconds until a peer's answer is due. */
-const ANSWER_TIMEOUT_MS = 1_000
+const ANSWER_TIMEOUT_MS = 800
 /** Milliseconds between two askings. */
-const PAUSE_MS = 400
+const PAUSE_MS = 100
 
 /** What a borrower works with. */
 export interface StateBorrowerOptions {
-  /** Highest version that this router has in force. */
-  readonly version: () => number
-  /** Milliseconds since this router read the list of targets itself. */
-  readonly targetsAgeMs: () => number
-  /** Age at which a peer's newer list of targets is borrowed, in milliseconds. */
-  readonly borrowAfterMs: number
-  readonly peers: () => readonly Peer[]
-  readonly onState: (state: PeerState, router: string) => void
+  readonly knowledge: RouterKnowledge
+  readonly onPlacements: (placements: readonly Placement[]) => void
   readonly log: DecisionLog
+  /** Steady clock, in milliseconds. */
+  readonly now: () => number
 }
 
-/** Takes configuration and targets from peers that have newer ones. */
+/** Takes configuration and targets from peers that know newer ones. */
 export interface StateBorrower {
-  /** Asks a peer where one has something newer. */
-  check(): void
+  /** Looks at a peer that was just heard. */
+  heard(peer: Peer): void
+}
+
+/** Returns how long ago a peer surely had all changes of the list of targets. */
+function targetsAgeOf({ digest, heardAtMs }: Peer, nowMs: number): number {
+  return (digest?.targetsAgeMs ?? Infinity) + nowMs - heardAtMs
 }
 
 /** Creates a borrower that asks one peer at a time. */
 export function createStateBorrower(
   options: StateBorrowerOptions,
 ): StateBorrower {
-  const { version, targetsAgeMs, borrowAfterMs, peers, onState, log } = options
-  let asking = false
+  const { knowledge, onPlacements, log, now } = options
+  let isAsking = false
   let hasAsked = false
 
-  function hasNewer({ digest }: Peer): boolean {
+  function hasNewer(peer: Peer): boolean {
+    const { digest } = peer
     if (!digest) return false
     // A router that has just started learns where prompts are cached.
     if (!hasAsked) return true
-    if (digest.configurationVersion > version()) return true
-    const ageMs = digest.targetsAgeMs ?? Infinity
-    return targetsAgeMs() > borrowAfterMs && ageMs < borrowAfterMs
+    if (digest.configurationVersion > knowledge.configurationVersion())
+      return true
+    const ageMs = targetsAgeOf(peer, now())
+    if (ageMs >= knowledge.targetsAgeMs()) return false
+    if (digest.targetsFingerprint !== knowledge.targetsFingerprint())
+      return true
+    knowledge.confirmTargets(ageMs)
+    return false
   }
 
   async function ask({ router, address }: Peer): Promise<void> {
-    const url = `http://${address.host}:${address.port}${STATE_PATH}?known=${version()}`
+    const { host, port } = address
+    const known = knowledge.configurationVersion()
+    const askedAtMs = now()
     const reply = await requestJson({
-      url,
+      url: `http://${host}:${port}${STATE_PATH}?known=${known}`,
       method: 'GET',
       timeoutMs: ANSWER_TIMEOUT_MS,
     })
     const state = reply.isOk() ? decodePeerState(reply.value.body) : undefined
-    if (state) {
-      hasAsked = true
-      onState(state, router)
-    } else log.write(LogEvent.PeerFailed, { router, reason: 'no state in time' })
+    if (!state) {
+      log.write(LogEvent.PeerFailed, { router, reason: 'no state in time' })
+      return
+    }
+    hasAsked = true
+    const { configuration, placements, targets, targetsAgeMs } = state
+    if (configuration) knowledge.takeConfiguration(configuration, router)
+    onPlacements(placements)
+    const ageMs = (targetsAgeMs ?? Infinity) + now() - askedAtMs
+    if (ageMs < knowledge.targetsAgeMs()) knowledge.takeTargets(targets, ageMs)
   }
 
   return {
-    check() {
-      if (asking) return
-      const peer = peers().find(hasNewer)
-      if (!peer) return
-      asking = true
+    heard(peer) {
+      if (isAsking || !hasNewer(peer)) return
+      isAsking = true
       void ask(peer).finally(() => {
         setTimeout(() => {
-          asking = false
+          isAsking = false
         }, PAUSE_MS).unref()
       })
     },
--- a/packages/router/src/node/peers/peerDigest.ts
+++ b/packages/router/src/node/peers/peerDigest.ts
@@ -8,7 +8,13 @@
   sequence: v.number(),
   port: v.number(),
   configurationVersion: v.number(),
-  /** Milliseconds since the router last read the list of targets itself. */
+  /** Milliseconds since the router itself read configurations; null before the first time. */
+  configurationReadMs: v.nullable(v.number()),
+  /** Tells the router's list of targets apart from others. */
+  targetsFingerprint: v.number(),
+  /** Milliseconds since the router itself read the list of targets. */
+  targetsReadMs: v.nullable(v.number()),
+  /** Milliseconds up to which the router surely has all changes of the list. */
   targetsAgeMs: v.nullable(v.number()),
   stopping: v.boolean(),
   /** Requests in flight by target id. */
--- /dev/null
+++ b/packages/router/src/node/peers/routerKnowledge.ts
@@ -0,0 +1,21 @@
+import type { RouterConfiguration } from '../configuration/routerConfiguration.js'
+import type { Target } from '../targets/target.js'
+
+/** What a router knows of configuration and targets, to be shared with peers. */
+export interface RouterKnowledge {
+  configurationVersion(): number
+  /** Milliseconds since this router itself read configurations. */
+  configurationReadMs(): number
+  targetsFingerprint(): number
+  /** Milliseconds since this router itself read the list of targets. */
+  targetsReadMs(): number
+  /** Milliseconds up to which this router surely has all changes of the list. */
+  targetsAgeMs(): number
+  /** Returns the configuration in force if it is newer than `version`. */
+  configurationSince(version: number): RouterConfiguration | undefined
+  targets(): readonly Target[]
+  takeConfiguration(configuration: RouterConfiguration, from: string): void
+  takeTargets(targets: readonly Target[], ageMs: number): void
+  /** Notes that a peer had the same list of targets `ageMs` ago. */
+  confirmTargets(ageMs: number): void
+}
--- a/packages/router/src/node/sources/createSourceFollower.ts
+++ b/packages/router/src/node/sources/createSourceFollower.ts
@@ -12,8 +12,12 @@
   readonly pauseMs: number
   /** Steady clock, in milliseconds. */
   readonly now: () => number
+  /** Whether a peer reads for this router; it then reads only once. */
+  readonly isCovered?: () => boolean
   readonly onListing: (values: ReadonlyMap<string, T>) => void
   readonly onEntry: (entry: SourceEntry<T>) => void
+  /** Called after each answer of the source, once its changes are taken in. */
+  readonly onRead?: () => void
   readonly onLost?: (fault: SourceFault) => void
   /** Called before the first changes after an outage, with its length. */
   readonly onRegained?: (lostMs: number) => void
@@ -21,7 +25,7 @@
 
 /** Reads a source again and again. */
 export interface SourceFollower {
-  /** Milliseconds since the source last answered; infinite before the first time. */
+  /** Milliseconds since the source last answered this router; infinite before the first time. */
   ageMs(): number
   stop(): void
 }
@@ -63,6 +67,7 @@
     answered()
     end = listing.value.end
     onListing(listing.value.values)
+    options.onRead?.()
     return true
   }
 
@@ -75,14 +80,22 @@
     answered()
     // An end before the offset means that another history stands there now.
     end = page.value.end < from ? undefined : page.value.end
-    for (const entry of page.value.entries) onEntry(entry)
+    // Only the last change of a key counts; earlier ones are long past.
+    const last = new Map(page.value.entries.map((entry) => [entry.key, entry]))
+    for (const entry of last.values()) onEntry(entry)
+    options.onRead?.()
     return true
   }
 
+  async function readOnce(): Promise<number> {
+    if (end === undefined) return (await list()) ? options.pauseMs : RETRY_MS
+    if (options.isCovered?.()) return Math.max(options.pauseMs, RETRY_MS)
+    return (await readOn(end)) ? options.pauseMs : RETRY_MS
+  }
+
   async function run(): Promise<void> {
     while (!signal.aborted) {
-      const read = end === undefined ? await list() : await readOn(end)
-      const pauseMs = read ? options.pauseMs : RETRY_MS
+      const pauseMs = await readOnce()
       await sleep(pauseMs, undefined, { signal }).catch(() => undefined)
     }
   }
--- a/packages/router/src/node/targets/__tests__/createTargetView.test.ts
+++ b/packages/router/src/node/targets/__tests__/createTargetView.test.ts
@@ -34,16 +34,16 @@
 
   it('drops a target whose entry went', () => {
     const view = createTargetView(REJOIN_MS)
-    view.replace(new Map([['a', target('a')]]), 0)
-    view.replace(new Map(), 1)
+    view.put(target('a'))
+    view.remove('a', 1)
     assert.deepEqual(view.ready('s', NOW_MS), [])
   })
 
   it('waits after an outage for entries that it lost', () => {
     const view = createTargetView(REJOIN_MS)
-    view.replace(new Map([['a', target('a')], ['b', target('b')]]), 0)
+    for (const id of ['a', 'b']) view.put(target(id))
     view.regained(10_000)
-    view.replace(new Map(), 10_001)
+    for (const id of ['a', 'b']) view.remove(id, 10_001)
     assert.deepEqual(ids(view.ready('s', NOW_MS)), ['a', 'b'])
     view.put(target('a'))
     const lastMs = 10_000 + REJOIN_MS
@@ -58,4 +58,16 @@
     view.put(target('a', { draining: true }))
     assert.deepEqual(view.ready('s', NOW_MS), [])
   })
+
+  it('has one fingerprint for the same targets, however they came', () => {
+    const one = createTargetView(REJOIN_MS)
+    const other = createTargetView(REJOIN_MS)
+    for (const id of ['a', 'b']) one.put(target(id))
+    for (const id of ['b', 'c', 'a']) other.put(target(id))
+    assert.notEqual(one.fingerprint(), other.fingerprint())
+    other.remove('c', 0)
+    assert.equal(one.fingerprint(), other.fingerprint())
+    other.put(target('a', { draining: true }))
+    assert.notEqual(one.fingerprint(), other.fingerprint())
+  })
 })
--- a/packages/router/src/node/targets/createTargetView.ts
+++ b/packages/router/src/node/targets/createTargetView.ts
@@ -1,5 +1,14 @@
+import { isDeepStrictEqual } from 'node:util'
+import { hash32 } from '@auburnbay/core/hash/hash32'
 import type { Target } from './target.js'
 
+function fingerprintOf(targets: Iterable<Target>): number {
+  const lines: string[] = []
+  for (const { id, service, host, port, draining } of targets)
+    lines.push([id, service, host, port, draining].join(' '))
+  return hash32(lines.sort().join('\n'))
+}
+
 /** The targets that may get work, as far as this router knows. */
 export interface TargetView {
   /** Returns the targets of a service that are not leaving. */
@@ -7,8 +16,8 @@
   /** Returns a target that is listed, leaving or not. */
   find(id: string): Target | undefined
   all(): Iterable<Target>
-  /** Takes in a whole list. */
-  replace(targets: ReadonlyMap<string, Target>, nowMs: number): void
+  /** Tells two views apart; the same for the same targets. */
+  fingerprint(): number
   put(target: Target): void
   remove(id: string, nowMs: number): void
   /** Notes that the list can be read again after an outage. */
@@ -23,6 +32,7 @@
   const targets = new Map<string, Target>()
   const missing = new Set<string>()
   let byService: Map<string, Target[]> | undefined
+  let fingerprint: number | undefined
   let rejoinUntilMs = -Infinity
 
   function index(): Map<string, Target[]> {
@@ -36,16 +46,23 @@
     return indexed
   }
 
+  function changed(): void {
+    byService = undefined
+    fingerprint = undefined
+  }
+
   function drop(id: string): void {
     missing.delete(id)
     targets.delete(id)
-    byService = undefined
+    changed()
   }
 
   function put(target: Target): void {
     missing.delete(target.id)
+    // Entries are written again and again without a change.
+    if (isDeepStrictEqual(targets.get(target.id), target)) return
     targets.set(target.id, target)
-    byService = undefined
+    changed()
   }
 
   function remove(id: string, nowMs: number): void {
@@ -68,9 +85,9 @@
     },
     find: (id) => targets.get(id),
     all: () => targets.values(),
-    replace(listed, nowMs) {
-      for (const target of listed.values()) put(target)
-      for (const id of targets.keys()) if (!listed.has(id)) remove(id, nowMs)
+    fingerprint() {
+      fingerprint ??= fingerprintOf(targets.values())
+      return fingerprint
     },
     put,
     remove,
--- a/packages/router/src/node/targets/followTargets.ts
+++ b/packages/router/src/node/targets/followTargets.ts
@@ -1,3 +1,4 @@
+import { LRUCache } from 'lru-cache'
 import { SHORT_OUTAGE_MS } from '../constants.js'
 import type { DecisionLog } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
@@ -6,6 +7,9 @@
 import type { TargetView } from './createTargetView.js'
 import type { Target } from './target.js'
 
+/** Targets that went and are remembered; far more than go while an old list is about. */
+const MAX_GONE = 1_000
+
 /** What the follower of targets works with. */
 export interface FollowTargetsOptions {
   readonly source: KeyedSource<Target>
@@ -16,17 +20,27 @@
   readonly unreadAtMs: () => number
   /** Steady clock, in milliseconds. */
   readonly now: () => number
+  /** Whether a peer reads the list for this router. */
+  readonly isCovered: () => boolean
+  /** Called when a target came, left or announced that it leaves. */
+  readonly onChange: () => void
   readonly log: DecisionLog
 }
 
 /** Keeps a view of targets in step with their list. */
 export interface TargetsFollower {
-  /** Milliseconds since the list was last read; infinite before the first time. */
+  /** Milliseconds since this router read the list; infinite before the first time. */
+  readMs(): number
+  /** Milliseconds up to which the view surely has all changes, from the list or from peers. */
   ageMs(): number
   /** Whether the view has come from the list or from a peer. */
   isKnown(): boolean
-  /** Takes in the list that a peer has. */
-  borrow(targets: readonly Target[]): void
+  /** Takes in the list that a peer had `ageMs` ago. */
+  borrow(targets: readonly Target[], ageMs: number): void
+  /** Notes that a peer had the same list `ageMs` ago. */
+  confirm(ageMs: number): void
+  /** Trusts nothing that was known until the list is read again. */
+  doubt(): void
   stop(): void
 }
 
@@ -34,34 +48,68 @@
 export function followTargets(options: FollowTargetsOptions): TargetsFollower {
   const { source, view, now, log } = options
   let isKnown = false
+  let confirmedAtMs = -Infinity
+  let mustRead = false
+  // Targets that went; a peer's older list must not bring them back.
+  const gone = new LRUCache<string, true>({ max: MAX_GONE })
 
   function put(target: Target): void {
     const known = view.find(target.id)
+    gone.delete(target.id)
     view.put(target)
     const { id, service, draining } = target
+    if (known && known.draining === draining) return
+    options.onChange()
     if (!known) log.write(LogEvent.TargetListed, { target: id, service })
-    if (draining && !known?.draining)
-      log.write(LogEvent.TargetDraining, { target: id, service })
+    if (draining) log.write(LogEvent.TargetDraining, { target: id, service })
+  }
+
+  function remove(id: string): void {
+    if (!view.find(id)) return
+    gone.set(id, true)
+    log.write(LogEvent.TargetGone, { target: id })
+    view.remove(id, now())
+    options.onChange()
+  }
+
+  function confirm(ageMs: number): void {
+    confirmedAtMs = Math.max(confirmedAtMs, now() - ageMs)
   }
 
   function replace(values: ReadonlyMap<string, Target>): void {
     isKnown = true
     for (const target of values.values()) put(target)
-    view.replace(values, now())
+    for (const { id } of [...view.all()]) if (!values.has(id)) remove(id)
+  }
+
+  /** Whether a peer's entry goes back behind what this router knows. */
+  function isBehind({ id, draining }: Target): boolean {
+    if (gone.has(id)) return true
+    return view.find(id)?.draining === true && !draining
+  }
+
+  function borrow(targets: readonly Target[], ageMs: number): void {
+    // The peer is mistaken, or the target came back: only the list can tell.
+    if (targets.some(isBehind)) {
+      mustRead = true
+      return
+    }
+    replace(new Map(targets.map((target) => [target.id, target])))
+    confirm(ageMs)
   }
 
   const follower = createSourceFollower({
     source,
     pauseMs: options.pauseMs,
+    isCovered: () => !mustRead && options.isCovered(),
+    onRead: () => {
+      mustRead = false
+    },
     now,
     onListing: replace,
     onEntry: ({ key, value }) => {
-      if (value) {
-        put(value)
-        return
-      }
-      if (view.find(key)) log.write(LogEvent.TargetGone, { target: key })
-      view.remove(key, now())
+      if (value) put(value)
+      else remove(key)
     },
     onLost: (fault) => {
       log.write(LogEvent.SourceLost, { source: 'targets', fault })
@@ -77,10 +125,17 @@
   })
 
   return {
-    ageMs: () => follower.ageMs(),
+    readMs: () => (mustRead ? Infinity : follower.ageMs()),
+    ageMs() {
+      if (mustRead) return Infinity
+      return Math.min(follower.ageMs(), now() - confirmedAtMs)
+    },
     isKnown: () => isKnown,
-    borrow(targets) {
-      replace(new Map(targets.map((target) => [target.id, target])))
+    confirm,
+    borrow,
+    doubt() {
+      mustRead = true
+      confirmedAtMs = -Infinity
     },
     stop: () => {
       follower.stop()
