--- a/packages/http-utils/src/node/requestJson.ts
+++ b/packages/http-utils/src/node/requestJson.ts
@@ -1,9 +1,5 @@
 import { err, ok, type Result } from 'neverthrow'
-import {
-  type BytesCall,
-  type CallError,
-  requestBytes,
-} from './requestBytes.js'
+import { type BytesCall, type CallError, requestBytes } from './requestBytes.js'
 
 /** A small JSON call over HTTP. */
 export interface JsonCall extends Omit<BytesCall, 'body'> {
@@ -39,6 +35,8 @@
     const { status } = reply.value
     return ok({ status, body: parse(reply.value.body.toString('utf8')) })
   } catch {
-    return err({ message: `${call.method} ${call.url}: the answer is not JSON` })
+    return err({
+      message: `${call.method} ${call.url}: the answer is not JSON`,
+    })
   }
 }
--- a/packages/router/src/node/callers/__tests__/createEventSplitter.test.ts
+++ b/packages/router/src/node/callers/__tests__/createEventSplitter.test.ts
@@ -4,7 +4,10 @@
 import { createEventSplitter } from '../createEventSplitter.js'
 
 const eventsOf = (count: number): string =>
-  Array.from({ length: count }, (_, i) => `id: ${i}\ndata: piece ${i}\n\n`).join('')
+  Array.from(
+    { length: count },
+    (_, i) => `id: ${i}\ndata: piece ${i}\n\n`,
+  ).join('')
 
 describe('createEventSplitter', () => {
   it('passes on whole events only and leaves every byte as it is', () => {
@@ -15,7 +18,9 @@
         fc.nat(20),
         (count, cuts, tail) => {
           const whole = eventsOf(count)
-          const stream = Buffer.from(whole + 'id: 99\ndata: torn piece'.slice(0, tail))
+          const stream = Buffer.from(
+            whole + 'id: 99\ndata: torn piece'.slice(0, tail),
+          )
           const places = [...cuts, stream.length].sort((a, b) => a - b)
           const splitter = createEventSplitter()
           let passed = ''
--- a/packages/router/src/node/callers/createCallerServer.ts
+++ b/packages/router/src/node/callers/createCallerServer.ts
@@ -1,4 +1,8 @@
-import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http'
 import { hash32 } from '@auburnbay/core/hash/hash32'
 import { Verdict } from '@auburnbay/core/verdict/verdict'
 import type { RequestFailure } from '@auburnbay/core/verdict/requestFailure'
--- a/packages/router/src/node/callers/createEventSplitter.ts
+++ b/packages/router/src/node/callers/createEventSplitter.ts
@@ -15,7 +15,8 @@
 
 function findLastId(events: Buffer): string | undefined {
   let id: string | undefined
-  for (const match of events.toString('latin1').matchAll(EVENT_ID)) id = match[1]
+  for (const match of events.toString('latin1').matchAll(EVENT_ID))
+    id = match[1]
   return id
 }
 
--- a/packages/router/src/node/configuration/__tests__/createConfigurationKeeper.test.ts
+++ b/packages/router/src/node/configuration/__tests__/createConfigurationKeeper.test.ts
@@ -23,10 +23,13 @@
   it('finds a customer by each of its keys and none by a dropped one', () => {
     const keeper = createConfigurationKeeper()
     const customers = [{ name: 'c', keys: ['k1', 'k2'] }]
+    const nameOf = (key: string) =>
+      keeper.current?.customerOfKey?.get(key)?.name
     keeper.offer(testConfiguration(1, { customers }))
-    assert.equal(keeper.current?.customerOfKey?.get('k2')?.name, 'c')
+    assert.equal(nameOf('k2'), 'c')
     const fewer = [{ name: 'c', keys: ['k1'] }]
     keeper.offer(testConfiguration(2, { customers: fewer }))
-    assert.equal(keeper.current.customerOfKey?.get('k2'), undefined)
+    assert.equal(nameOf('k1'), 'c')
+    assert.equal(nameOf('k2'), undefined)
   })
 })
--- a/packages/router/src/node/configuration/__tests__/createRouteTable.test.ts
+++ b/packages/router/src/node/configuration/__tests__/createRouteTable.test.ts
@@ -42,7 +42,10 @@
           )
           const distinct = [
             ...new Map(
-              routes.map((route) => [`${route.host} ${route.pathPrefix}`, route]),
+              routes.map((route) => [
+                `${route.host} ${route.pathPrefix}`,
+                route,
+              ]),
             ).values(),
           ]
           const expected = findNaively(distinct, 'x', asked)
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -1,8 +1,7 @@
-import { createServer } from 'node:http'
 import { performance } from 'node:perf_hooks'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { randomUUID } from 'node:crypto'
-import { closeServer, formatAddress, listen } from '@auburnbay/http-utils/listen'
+import { formatAddress } from '@auburnbay/http-utils/listen'
 import { createCallerServer } from './callers/createCallerServer.js'
 import { createDispatcher } from './callers/createDispatcher.js'
 import { createConfigurationKeeper } from './configuration/createConfigurationKeeper.js'
@@ -10,12 +9,10 @@
 import * as constants from './constants.js'
 import { createTargetHealth } from './health/createTargetHealth.js'
 import { HEALTH_OPTIONS } from './health/constants.js'
-import {
-  createRetryAllowance,
-  type RetryAllowance,
-} from './limits/createRetryAllowance.js'
+import { createAllowances } from './limits/createAllowances.js'
 import type { DecisionLog } from './logging/decisionLog.js'
 import { LogEvent } from './logging/logEvent.js'
+import { createReadinessServer } from './stopping/createReadinessServer.js'
 import { createMetricsServer } from './metrics/createMetricsServer.js'
 import { createRouterMetrics } from './metrics/createRouterMetrics.js'
 import { createPeers, type Peers } from './peers/createPeers.js'
@@ -23,6 +20,7 @@
 import type { RouterPorts } from './routerPorts.js'
 import { createFleetLoad } from './routing/createFleetLoad.js'
 import { createPlacements } from './routing/createPlacements.js'
+import { createPlacer } from './routing/createPlacer.js'
 import type { RouterSettings } from './settings/settingsSchema.js'
 import { createPauseDetector } from './createPauseDetector.js'
 import { createSourceFollower } from './sources/createSourceFollower.js'
@@ -51,7 +49,8 @@
   let stopping = false
   const now = (): number => performance.now()
   const incarnation = randomUUID()
-  let peers: Peers | undefined
+  // The parts that tell peers are made before the part for peers.
+  const peers: { current?: Peers } = {}
   const keeper = createConfigurationKeeper()
   const view = createTargetView(constants.REJOIN_MS)
   const load = createFleetLoad(constants.DIGEST_STALE_MS)
@@ -63,7 +62,7 @@
 
   function offer(configuration: RouterConfiguration, from: string): void {
     if (!keeper.offer(configuration)) return
-    peers?.tell()
+    peers.current?.tell()
     const { version, routes } = configuration
     log.write(LogEvent.ConfigurationInForce, {
       version,
@@ -76,7 +75,7 @@
     source: ports.configurations,
     pauseMs: 0,
     now,
-    isCovered: () => peers?.readConfigurations() ?? false,
+    isCovered: () => peers.current?.readConfigurations() ?? false,
     onListing: (values) => {
       for (const configuration of values.values())
         offer(configuration, 'listing')
@@ -98,10 +97,10 @@
     source: ports.targets,
     view,
     pauseMs: settings.bounds.drainMs / constants.READINGS_PER_DRAIN,
-    unreadAtMs: () => peers?.unreadAtMs() ?? now(),
-    isCovered: () => peers?.readTargets() ?? false,
+    unreadAtMs: () => peers.current?.unreadAtMs() ?? now(),
+    isCovered: () => peers.current?.readTargets() ?? false,
     onChange: () => {
-      peers?.tell()
+      peers.current?.tell()
     },
     now,
     log,
@@ -125,7 +124,7 @@
       targets.confirm(ageMs)
     },
   }
-  peers = await createPeers({
+  peers.current = await createPeers({
     settings,
     incarnation,
     knowledge,
@@ -148,21 +147,14 @@
     targets.doubt()
   }, constants.DIGEST_MS)
 
-  const allowances = new Map<string, RetryAllowance>()
-  function allowanceOf(service: string): RetryAllowance {
-    const known = allowances.get(service)
-    if (known) return known
-    const allowance = createRetryAllowance({
-      bounds: () => ({
-        ratio: settings.bounds.retryRatio,
-        allowance: settings.bounds.retryAllowance,
-        windowS: settings.bounds.retryWindowS,
-      }),
-      routers: () => peers?.routers() ?? constants.ROUTERS_WHEN_ALONE,
-    })
-    allowances.set(service, allowance)
-    return allowance
-  }
+  const allowanceOf = createAllowances({
+    bounds: () => ({
+      ratio: settings.bounds.retryRatio,
+      allowance: settings.bounds.retryAllowance,
+      windowS: settings.bounds.retryWindowS,
+    }),
+    routers: () => peers.current?.routers() ?? constants.ROUTERS_WHEN_ALONE,
+  })
 
   const client = createTargetClient({
     protocol: ports.targetProtocol,
@@ -176,9 +168,15 @@
     dispatcher: createDispatcher({
       view,
       load,
-      placements,
-      sharesCache: (service) =>
-        keeper.current?.services.get(service)?.sharesCache ?? false,
+      placer: createPlacer({
+        view,
+        load,
+        placements,
+        health,
+        sharesCache: (service) =>
+          keeper.current?.services.get(service)?.sharesCache ?? false,
+        now,
+      }),
       health,
       client,
       protocol: ports.targetProtocol,
@@ -194,11 +192,10 @@
 
   const isReady = (): boolean =>
     !stopping && keeper.current !== undefined && targets.isKnown()
-  const readiness = createServer((_req, res) => {
-    res.writeHead(isReady() ? 200 : 503, { 'Content-Length': 0 })
-    res.end()
-  })
-  await listen(readiness, settings.listen.readiness)
+  const readiness = await createReadinessServer(
+    settings.listen.readiness,
+    isReady,
+  )
   const metricsServer = settings.listen.metrics
     ? await createMetricsServer(settings.listen.metrics, metrics)
     : undefined
@@ -217,7 +214,7 @@
     const startedAtMs = now()
     log.write(LogEvent.Stopping, { inFlight: callers.inFlight })
     callers.closeAfterAnswers()
-    peers?.tell()
+    peers.current?.tell()
     const gracePeriodMs = settings.bounds.gracePeriodS * 1_000
     const lastMs = startedAtMs + gracePeriodMs - constants.STOP_MARGIN_MS
     await sleep(Math.min(constants.BALANCER_DELAY_MS, gracePeriodMs / 2))
@@ -228,10 +225,10 @@
     clearInterval(watching)
     configurations.stop()
     targets.stop()
-    peers?.close()
+    peers.current?.close()
     client.close()
     metricsServer?.close()
-    await closeServer(readiness)
+    await readiness.close()
   }
 
   let stopped: Promise<void> | undefined
--- a/packages/router/src/node/health/createTargetHealth.ts
+++ b/packages/router/src/node/health/createTargetHealth.ts
@@ -54,8 +54,7 @@
     eligible(service, targets, nowMs) {
       const health = healthOf(service, targets)
       const open = targets.filter(
-        ({ id }) =>
-          !isAvoided(id, nowMs) && health.isEligible(id, true, nowMs),
+        ({ id }) => !isAvoided(id, nowMs) && health.isEligible(id, true, nowMs),
       )
       return open.length > 0 ? open : targets
     },
--- a/packages/router/src/node/routing/__tests__/choosePlace.test.ts
+++ b/packages/router/src/node/routing/__tests__/choosePlace.test.ts
@@ -75,7 +75,11 @@
     for (let i = 0; i < 40; i += 1) {
       const key = { affinity: `prompt ${i}`, spread: String(i) }
       const home = choosePlace({ ...before, ...key })
-      const after = { ...before, targets: targets(8), holders: [home?.id ?? ''] }
+      const after = {
+        ...before,
+        targets: targets(8),
+        holders: [home?.id ?? ''],
+      }
       assert.equal(choosePlace({ ...after, ...key })?.id, home?.id)
     }
   })
--- a/packages/router/src/node/settings/__tests__/readSettings.test.ts
+++ b/packages/router/src/node/settings/__tests__/readSettings.test.ts
@@ -30,7 +30,10 @@
   it('names the field, what was expected and what to do', () => {
     const listen = { ...GOOD.listen, callers: 'nowhere' }
     const error = resolveSettings({ ...GOOD, listen })._unsafeUnwrapErr()
-    assert.match(error, /listen\.callers: expected HOST:PORT; correct the field/)
+    assert.match(
+      error,
+      /listen\.callers: expected HOST:PORT; correct the field/,
+    )
     const bounds = { ...GOOD.bounds, drainMs: 'soon' }
     const other = resolveSettings({ ...GOOD, bounds })._unsafeUnwrapErr()
     assert.match(other, /bounds\.drainMs: .*number/)
@@ -38,7 +41,10 @@
 
   it('says in one line that a file is missing', () => {
     const error = readSettings('/does/not/exist.json')._unsafeUnwrapErr()
-    assert.match(error, /^settings: \/does\/not\/exist\.json: .*write a JSON file/)
+    assert.match(
+      error,
+      /^settings: \/does\/not\/exist\.json: .*write a JSON file/,
+    )
     assert.ok(!error.includes('\n'))
   })
 })
--- a/packages/router/src/node/targets/__tests__/followTargets.test.ts
+++ b/packages/router/src/node/targets/__tests__/followTargets.test.ts
@@ -22,7 +22,8 @@
       const values = new Map(listed.map((entry) => [entry.id, entry]))
       return Promise.resolve(ok({ values, end: 0 }))
     },
-    read: (from) => Promise.resolve(ok({ entries: changes.splice(0), end: from })),
+    read: (from) =>
+      Promise.resolve(ok({ entries: changes.splice(0), end: from })),
   }
   const view = createTargetView(2_000)
   const follower = followTargets({
--- a/packages/router/src/node/targets/followTargets.ts
+++ b/packages/router/src/node/targets/followTargets.ts
@@ -58,7 +58,7 @@
     gone.delete(target.id)
     view.put(target)
     const { id, service, draining } = target
-    if (known && known.draining === draining) return
+    if (known?.draining === draining) return
     options.onChange()
     if (!known) log.write(LogEvent.TargetListed, { target: id, service })
     if (draining) log.write(LogEvent.TargetDraining, { target: id, service })
