Ask another target at half the target latency; give silent ones no work

Ruled out: slow second answers (p50 36 ms). Change: a repeatable request is given up at half its target latency, or four times what answers on its route usually take, whichever is more. A target that owes answers and has sent nothing for a second gets no new work.

--- a/packages/router/src/node/callers/callProgress.ts
+++ b/packages/router/src/node/callers/callProgress.ts
@@ -8,8 +8,6 @@
 
 /** Least time that is worth a send, in milliseconds. */
 export const MIN_REMAINING_MS = 5
-/** Target latencies after which a silent send of a repeatable request is given up. */
-const PATIENCE_LATENCIES = 3
 
 /** What the sends of one call have come to. */
 export interface CallProgress {
@@ -49,16 +47,9 @@
   return isRepeatable(call) && runs < call.route.maxAttempts
 }
 
-/** Returns how many milliseconds the next send may take to the head of its answer. */
-export function patienceMs(
-  call: Call,
-  { runs }: CallProgress,
-  nowMs: number,
-): number {
-  const remainingMs = call.dueAtMs - nowMs
-  const isLast = runs + 1 >= call.route.maxAttempts
-  if (!isRepeatable(call) || isLast) return remainingMs
-  return Math.min(remainingMs, PATIENCE_LATENCIES * call.route.targetLatencyMs)
+/** Returns whether the call may be given to another target if the next one is silent. */
+export function maySendElsewhere(call: Call, { runs }: CallProgress): boolean {
+  return isRepeatable(call) && runs + 1 < call.route.maxAttempts
 }
 
 /** Returns what to tell the caller of a call that brought no answer. */
--- a/packages/router/src/node/callers/createAnswerRelay.ts
+++ b/packages/router/src/node/callers/createAnswerRelay.ts
@@ -24,7 +24,7 @@
   /** Last event that the caller has. */
   readonly lastEventId: string | undefined
   /** Passes an answer on; what follows a broken stream goes on after it. */
-  relay(answer: TargetAnswer): Promise<RelayEnd>
+  relay(answer: TargetAnswer, onPiece: () => void): Promise<RelayEnd>
 }
 
 /** Creates the relay of one call. */
@@ -44,10 +44,14 @@
   }
 
   /** Holds a body back until it is whole, unless it is long. */
-  async function relayPlain(answer: TargetAnswer): Promise<RelayEnd> {
+  async function relayPlain(
+    answer: TargetAnswer,
+    onPiece: () => void,
+  ): Promise<RelayEnd> {
     let held: Buffer[] = []
     let heldBytes = 0
     const end = await pumpBody(answer.res, res, signal, (piece) => {
+      onPiece()
       if (begun) return piece
       held.push(piece)
       heldBytes += piece.length
@@ -63,13 +67,17 @@
     return RelayEnd.Complete
   }
 
-  async function relayStream(answer: TargetAnswer): Promise<RelayEnd> {
+  async function relayStream(
+    answer: TargetAnswer,
+    onPiece: () => void,
+  ): Promise<RelayEnd> {
     if (!begun) {
       begin(answer)
       res.flushHeaders()
     }
     splitter.reset()
     const end = await pumpBody(answer.res, res, signal, (piece) => {
+      onPiece()
       const whole = splitter.push(piece)
       return route.resumable ? whole : piece
     })
@@ -91,8 +99,10 @@
       return !begun || (isStream && route.resumable)
     },
     fits: ({ head }) => !begun || head.status === RESUMED_STATUS,
-    relay: (answer) =>
-      isStream && isSuccess(answer) ? relayStream(answer) : relayPlain(answer),
+    relay: (answer, onPiece) =>
+      isStream && isSuccess(answer)
+        ? relayStream(answer, onPiece)
+        : relayPlain(answer, onPiece),
   }
 }
 
--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -3,7 +3,9 @@
 import type { RequestFailure } from '@auburnbay/core/verdict/requestFailure'
 import { combineVerdicts } from '@auburnbay/core/verdict/attemptProgress'
 import { Verdict } from '@auburnbay/core/verdict/verdict'
+import type { SilenceWatch } from '../health/createSilenceWatch.js'
 import type { TargetHealth } from '../health/createTargetHealth.js'
+import { createPatience } from '../limits/createPatience.js'
 import type { RetryAllowance } from '../limits/createRetryAllowance.js'
 import type { DecisionLog } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
@@ -27,8 +29,8 @@
   createCallProgress,
   failureOf,
   mayRunAgain,
+  maySendElsewhere,
   MIN_REMAINING_MS,
-  patienceMs,
 } from './callProgress.js'
 import { createAnswerRelay } from './createAnswerRelay.js'
 import { RelayEnd } from './relayEnd.js'
@@ -40,6 +42,7 @@
 /** Sends of one request that targets may refuse or that reach none. */
 const MAX_SENDS = 4
 const SERVER_ERROR_FROM = 500
+const MS_PER_S = 1_000
 
 /** What the dispatcher works with. */
 export interface DispatcherOptions {
@@ -47,6 +50,7 @@
   readonly load: FleetLoad
   readonly placer: Placer
   readonly health: TargetHealth
+  readonly silence: SilenceWatch
   readonly client: TargetClient
   readonly protocol: TargetProtocol
   readonly allowanceOf: (service: string) => RetryAllowance
@@ -70,7 +74,20 @@
 
 /** Creates a dispatcher. */
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
-  const { view, load, placer, health, client, log, metrics, now } = options
+  const patience = createPatience()
+  const { view, load, placer, health, silence, client, log, metrics, now } =
+    options
+
+  function patienceMs(
+    call: Call,
+    progress: CallProgress,
+    sentAtMs: number,
+  ): number {
+    const remainingMs = call.dueAtMs - sentAtMs
+    if (!maySendElsewhere(call, progress)) return remainingMs
+    const { name, targetLatencyMs } = call.route
+    return Math.min(remainingMs, patience.limitMs(name, targetLatencyMs))
+  }
 
   function judge(target: Target, failure: TargetFailure): void {
     const nowMs = now()
@@ -149,7 +166,9 @@
       return Next.OtherTarget
     }
     const end = progress.relay.fits(answer)
-      ? await progress.relay.relay(answer)
+      ? await progress.relay.relay(answer, () => {
+          silence.heard(target.id, now())
+        })
       : RelayEnd.Broken
     if (end !== RelayEnd.Broken) return Next.Done
     answer.res.destroy()
@@ -178,6 +197,7 @@
     const sentAtMs = now()
     const fetchFrom = placer.findSource(call, target)
     load.started(target.id)
+    silence.sent(target.id, sentAtMs)
     try {
       const result = await client.send({
         call,
@@ -197,10 +217,14 @@
       })
       if (result.isErr()) return failed(call, target, progress, result.error)
       placer.placed(call, target)
-      metrics.headSeen(call.service, (now() - sentAtMs) / 1_000)
+      const headMs = now() - sentAtMs
+      patience.note(route.name, headMs)
+      metrics.headSeen(call.service, headMs / MS_PER_S)
+      silence.heard(target.id, now())
       return await answered(call, target, progress, result.value)
     } finally {
       load.ended(target.id)
+      silence.ended(target.id)
     }
   }
 
--- a/packages/router/src/node/constants.ts
+++ b/packages/router/src/node/constants.ts
@@ -36,3 +36,5 @@
 export const MAX_PLACEMENTS = 10_000
 /** Milliseconds without a turn of the loop after which a router doubts what it knew. */
 export const PAUSE_MS = 700
+/** Milliseconds that a target may owe answers and send nothing; several times what a loaded one takes. */
+export const SILENT_MS = 1_000
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -7,6 +7,7 @@
 import { createConfigurationKeeper } from './configuration/createConfigurationKeeper.js'
 import type { RouterConfiguration } from './configuration/routerConfiguration.js'
 import * as constants from './constants.js'
+import { createSilenceWatch } from './health/createSilenceWatch.js'
 import { createTargetHealth } from './health/createTargetHealth.js'
 import { HEALTH_OPTIONS } from './health/constants.js'
 import { createAllowances } from './limits/createAllowances.js'
@@ -54,6 +55,7 @@
   const keeper = createConfigurationKeeper()
   const view = createTargetView(constants.REJOIN_MS)
   const load = createFleetLoad(constants.DIGEST_STALE_MS)
+  const silence = createSilenceWatch(constants.SILENT_MS)
   const placements = createPlacements(constants.MAX_PLACEMENTS)
   const metrics = createRouterMetrics()
   const health = createTargetHealth(HEALTH_OPTIONS, (target, change) => {
@@ -173,11 +175,13 @@
         load,
         placements,
         health,
+        silence,
         sharesCache: (service) =>
           keeper.current?.services.get(service)?.sharesCache ?? false,
         now,
       }),
       health,
+      silence,
       client,
       protocol: ports.targetProtocol,
       allowanceOf,
--- a/packages/router/src/node/routing/createPlacer.ts
+++ b/packages/router/src/node/routing/createPlacer.ts
@@ -1,4 +1,5 @@
 import type { Call } from '../callers/call.js'
+import type { SilenceWatch } from '../health/createSilenceWatch.js'
 import type { TargetHealth } from '../health/createTargetHealth.js'
 import type { TargetView } from '../targets/createTargetView.js'
 import type { Target } from '../targets/target.js'
@@ -13,6 +14,7 @@
   readonly load: FleetLoad
   readonly placements: Placements
   readonly health: TargetHealth
+  readonly silence: SilenceWatch
   /** Whether a service's targets fetch cached prompts from each other. */
   readonly sharesCache: (service: string) => boolean
   /** Steady clock, in milliseconds. */
@@ -35,14 +37,16 @@
 
 /** Creates a placer. */
 export function createPlacer(options: PlacerOptions): Placer {
-  const { view, load, placements, health, sharesCache, now } = options
+  const { view, load, placements, health, silence, sharesCache, now } = options
 
   return {
     place(call, tried) {
       const nowMs = now()
       const ready = view.ready(call.service, nowMs)
       const eligible = health.eligible(call.service, ready, nowMs)
-      const open = eligible.filter(({ id }) => !tried.has(id))
+      const open = eligible.filter(
+        ({ id }) => !tried.has(id) && !silence.isSilent(id, nowMs),
+      )
       const untried = ready.filter(({ id }) => !tried.has(id))
       const key = keyOf(call)
       return choosePlace({
