--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -5,6 +5,7 @@
 import { Verdict } from '@auburnbay/core/verdict/verdict'
 import type { SilenceWatch } from '../health/createSilenceWatch.js'
 import type { TargetHealth } from '../health/createTargetHealth.js'
+import { judgeFailure } from '../health/judgeFailure.js'
 import { createPatience } from '../limits/createPatience.js'
 import type { RetryAllowance } from '../limits/createRetryAllowance.js'
 import type { DecisionLog } from '../logging/decisionLog.js'
@@ -35,10 +36,6 @@
 import { createAnswerRelay } from './createAnswerRelay.js'
 import { RelayEnd } from './relayEnd.js'
 
-/** Milliseconds for which a target that cannot be reached gets no work. */
-const UNREACHABLE_AVOIDED_MS = 1_000
-/** Milliseconds for which a target that refused gets no work. */
-const REFUSED_AVOIDED_MS = 150
 /** Sends of one request that targets may refuse or that reach none. */
 const MAX_SENDS = 4
 const SERVER_ERROR_FROM = 500
@@ -89,34 +86,16 @@
     return Math.min(remainingMs, patience.limitMs(name, targetLatencyMs))
   }
 
-  function judge(target: Target, failure: TargetFailure): void {
-    const nowMs = now()
-    switch (failure.cause) {
-      case TargetFailureCause.Aborted:
-        return
-      case TargetFailureCause.Refused:
-        health.avoid(target.id, REFUSED_AVOIDED_MS, nowMs)
-        return
-      case TargetFailureCause.Unreachable:
-      case TargetFailureCause.WrongTarget:
-        health.avoid(target.id, UNREACHABLE_AVOIDED_MS, nowMs)
-        client.condemn(target)
-        return
-      case TargetFailureCause.Broken:
-      case TargetFailureCause.Silent:
-      case TargetFailureCause.ForeignAnswer:
-      case TargetFailureCause.Unsigned:
-        health.record(target, TargetOutcome.Failure, nowMs)
-    }
-  }
-
   function failed(
     call: Call,
     target: Target,
     progress: CallProgress,
     failure: TargetFailure,
   ): Next {
-    judge(target, failure)
+    const advice = judgeFailure(failure.cause)
+    if (advice.isFailure) health.record(target, TargetOutcome.Failure, now())
+    if (advice.avoidMs > 0) health.avoid(target.id, advice.avoidMs, now())
+    if (advice.condemns) client.condemn(target)
     progress.verdict = combineVerdicts(progress.verdict, failure.verdict)
     progress.lastCause = failure.cause
     if (failure.verdict !== Verdict.NotRun) progress.runs += 1
--- a/packages/router/src/node/constants.ts
+++ b/packages/router/src/node/constants.ts
@@ -1,8 +1,10 @@
 /** Milliseconds between two digests to peers; a fifth of the second in which load moves. */
 export const DIGEST_MS = 200
-/** Milliseconds after which a peer's counts are no longer used: five digests. */
-export const DIGEST_STALE_MS = 1_000
-/** Milliseconds of silence after which a peer counts as lost: ten digests. */
+/** Peers that one digest goes to; keeps 5 digests/s of some 200 bytes within 27 KB/s. */
+export const MAX_TOLD = 16
+/** Digests that may be lost before a peer's counts are no longer used. */
+export const STALE_DIGESTS = 5
+/** Milliseconds of silence after which a peer counts as lost. */
 export const PEER_LOST_MS = 2_000
 /** Milliseconds between two digests to a lost peer. */
 export const PEER_PROBE_MS = 1_000
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -1,6 +1,6 @@
 import { performance } from 'node:perf_hooks'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { randomUUID } from 'node:crypto'
+import { randomBytes } from 'node:crypto'
 import { formatAddress } from '@auburnbay/http-utils/listen'
 import { createCallerServer } from './callers/createCallerServer.js'
 import { createDispatcher } from './callers/createDispatcher.js'
@@ -17,7 +17,7 @@
 import { createMetricsServer } from './metrics/createMetricsServer.js'
 import { createRouterMetrics } from './metrics/createRouterMetrics.js'
 import { createPeers, type Peers } from './peers/createPeers.js'
-import type { RouterKnowledge } from './peers/routerKnowledge.js'
+import { createKnowledge } from './peers/createKnowledge.js'
 import type { RouterPorts } from './routerPorts.js'
 import { createFleetLoad } from './routing/createFleetLoad.js'
 import { createPlacements } from './routing/createPlacements.js'
@@ -29,6 +29,9 @@
 import { followTargets } from './targets/followTargets.js'
 import { createTargetView } from './targets/createTargetView.js'
 
+/** Bytes that tell one start of a router from another. */
+const INCARNATION_BYTES = 4
+
 /** A running router. */
 export interface Router {
   /** Where callers connect, as host:port. */
@@ -49,12 +52,17 @@
   let settings = initial
   let stopping = false
   const now = (): number => performance.now()
-  const incarnation = randomUUID()
+  const incarnation = randomBytes(INCARNATION_BYTES).toString('hex')
   // The parts that tell peers are made before the part for peers.
   const peers: { current?: Peers } = {}
   const keeper = createConfigurationKeeper()
   const view = createTargetView(constants.REJOIN_MS)
-  const load = createFleetLoad(constants.DIGEST_STALE_MS)
+  const load = createFleetLoad(() => {
+    const rounds = Math.ceil(
+      (peers.current?.routers() ?? 1) / constants.MAX_TOLD,
+    )
+    return constants.STALE_DIGESTS * constants.DIGEST_MS * rounds
+  })
   const silence = createSilenceWatch(constants.SILENT_MS)
   const placements = createPlacements(constants.MAX_PLACEMENTS)
   const metrics = createRouterMetrics()
@@ -107,25 +115,13 @@
     now,
     log,
   })
-  const knowledge: RouterKnowledge = {
-    configurationVersion: () => keeper.version,
+  const knowledge = createKnowledge({
+    keeper,
+    view,
+    targets,
     configurationReadMs: () => configurations.ageMs(),
-    targetsFingerprint: () => view.fingerprint(),
-    targetsReadMs: () => targets.readMs(),
-    targetsAgeMs: () => targets.ageMs(),
-    configurationSince(version) {
-      const newest = keeper.current?.configuration
-      return newest && newest.version > version ? newest : undefined
-    },
-    targets: () => [...view.all()],
-    takeConfiguration: offer,
-    takeTargets: (borrowed, ageMs) => {
-      targets.borrow(borrowed, ageMs)
-    },
-    confirmTargets: (ageMs) => {
-      targets.confirm(ageMs)
-    },
-  }
+    offer,
+  })
   peers.current = await createPeers({
     settings,
     incarnation,
--- /dev/null
+++ b/packages/router/src/node/health/judgeFailure.ts
@@ -0,0 +1,38 @@
+import { TargetFailureCause } from '../targets/targetFailure.js'
+
+/** What a failed send says of its target. */
+export interface FailureAdvice {
+  /** Whether the failure counts against the target's health. */
+  readonly isFailure: boolean
+  /** Milliseconds for which the target gets no work; 0 for none. */
+  readonly avoidMs: number
+  /** Whether kept connections to the target are given up. */
+  readonly condemns: boolean
+}
+
+/** Milliseconds for which a target that cannot be reached gets no work. */
+const UNREACHABLE_AVOIDED_MS = 1_000
+/** Milliseconds for which a target that refused gets no work. */
+const REFUSED_AVOIDED_MS = 150
+
+/** Judges a target by why a send to it failed; being full is no fault. */
+export function judgeFailure(cause: TargetFailureCause): FailureAdvice {
+  switch (cause) {
+    case TargetFailureCause.Aborted:
+      return { isFailure: false, avoidMs: 0, condemns: false }
+    case TargetFailureCause.Refused:
+      return { isFailure: false, avoidMs: REFUSED_AVOIDED_MS, condemns: false }
+    case TargetFailureCause.Unreachable:
+    case TargetFailureCause.WrongTarget:
+      return {
+        isFailure: false,
+        avoidMs: UNREACHABLE_AVOIDED_MS,
+        condemns: true,
+      }
+    case TargetFailureCause.Broken:
+    case TargetFailureCause.Silent:
+    case TargetFailureCause.ForeignAnswer:
+    case TargetFailureCause.Unsigned:
+      return { isFailure: true, avoidMs: 0, condemns: false }
+  }
+}
--- a/packages/router/src/node/peers/__tests__/createPeerTable.test.ts
+++ b/packages/router/src/node/peers/__tests__/createPeerTable.test.ts
@@ -3,7 +3,7 @@
 import { createPeerTable } from '../createPeerTable.js'
 import { decodeDigest, encodeDigest, type PeerDigest } from '../peerDigest.js'
 
-const OPTIONS = { lostMs: 2_000, probeMs: 1_000, forgetMs: 60_000 }
+const OPTIONS = { lostMs: 2_000, probeMs: 1_000, forgetMs: 60_000, maxTold: 16 }
 
 function digest(fields: Partial<PeerDigest> = {}): PeerDigest {
   return {
@@ -17,8 +17,8 @@
     targetsReadMs: null,
     targetsAgeMs: 10,
     stopping: false,
-    inFlight: { t1: 2 },
-    placed: [['prompt', 't1']],
+    inFlight: [0, 2],
+    placed: [['prompt', 1]],
     ...fields,
   }
 }
@@ -56,6 +56,22 @@
     assert.equal(table.live(0).length, 0)
   })
 
+  it('tells a few of many peers at a time, those told longest ago first', () => {
+    const table = createPeerTable(OPTIONS)
+    for (let i = 0; i < 40; i += 1)
+      table.heard(digest({ router: `r${i}` }), '10.0.0.1', 0)
+    const lastRound = new Map<string, number>()
+    for (let round = 1; round <= 30; round += 1) {
+      const due = table.due(round)
+      assert.equal(due.length, 16)
+      for (const { router } of due) lastRound.set(router, round)
+      // 40 peers, 16 at a time: each is told at least every third round.
+      if (round < 3) continue
+      assert.equal(lastRound.size, 40)
+      for (const last of lastRound.values()) assert.ok(round - last < 3)
+    }
+  })
+
   it('counts no peer that stops as live, and forgets long silent ones', () => {
     const table = createPeerTable(OPTIONS)
     table.heard(digest({ stopping: true }), '10.0.0.1', 0)
--- /dev/null
+++ b/packages/router/src/node/peers/__tests__/digestWork.test.ts
@@ -0,0 +1,32 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import { decodeInFlight, decodePlaced, encodeWork } from '../digestWork.js'
+
+describe('digestWork', () => {
+  it('reads back counts and placements of listed targets', () => {
+    const id = fc.string({ minLength: 1, maxLength: 4 })
+    fc.assert(
+      fc.property(
+        fc.uniqueArray(id, { maxLength: 10 }),
+        fc.array(fc.tuple(id, fc.nat(100))),
+        fc.array(fc.tuple(fc.string(), id)),
+        (ids, counted, placements) => {
+          const counts = new Map(counted)
+          const work = encodeWork(ids, counts, placements)
+          const read = decodeInFlight(ids, work)
+          for (const listed of ids)
+            assert.equal(read.get(listed), counts.get(listed) ?? 0)
+          const known = placements.filter(([, target]) => ids.includes(target))
+          assert.deepEqual(decodePlaced(ids, work), known)
+        },
+      ),
+      { seed: 21 },
+    )
+  })
+
+  it('leaves out places that a shorter list does not have', () => {
+    const work = encodeWork(['a', 'b'], new Map(), [['key', 'b']])
+    assert.deepEqual(decodePlaced(['a'], work), [])
+  })
+})
--- a/packages/router/src/node/peers/createPeerTable.ts
+++ b/packages/router/src/node/peers/createPeerTable.ts
@@ -36,11 +36,13 @@
   readonly probeMs: number
   /** Silence after which a peer is forgotten. */
   readonly forgetMs: number
+  /** Peers that one digest goes to. */
+  readonly maxTold: number
 }
 
 /** Creates a table without peers. */
 export function createPeerTable(options: PeerTableOptions): PeerTable {
-  const { lostMs, probeMs, forgetMs } = options
+  const { lostMs, probeMs, forgetMs, maxTold } = options
   const peers = new Map<string, Peer>()
   const listedAtMs = new Map<string, number>()
 
@@ -78,12 +80,13 @@
       return peer && isLive(peer, nowMs) ? peer : undefined
     },
     due(nowMs) {
-      const due: Peer[] = []
-      for (const peer of peers.values()) {
-        if (!isLive(peer, nowMs) && nowMs - peer.toldAtMs < probeMs) continue
-        peer.toldAtMs = nowMs
-        due.push(peer)
-      }
+      const due = [...peers.values()]
+        .filter(
+          (peer) => isLive(peer, nowMs) || nowMs - peer.toldAtMs >= probeMs,
+        )
+        .sort((a, b) => a.toldAtMs - b.toldAtMs)
+        .slice(0, maxTold)
+      for (const peer of due) peer.toldAtMs = nowMs
       return due
     },
     live(nowMs) {
--- a/packages/router/src/node/peers/createPeers.ts
+++ b/packages/router/src/node/peers/createPeers.ts
@@ -11,6 +11,7 @@
 import { createStateBorrower } from './createStateBorrower.js'
 import { joinDirectory } from './joinDirectory.js'
 import type { PeerDigest } from './peerDigest.js'
+import { decodeInFlight, decodePlaced, encodeWork } from './digestWork.js'
 import { isCovered, type ReadingAge } from './readerDuty.js'
 import type { RouterKnowledge } from './routerKnowledge.js'
 
@@ -57,6 +58,7 @@
     lostMs: constants.PEER_LOST_MS,
     probeMs: constants.PEER_PROBE_MS,
     forgetMs: constants.PEER_FORGET_MS,
+    maxTold: constants.MAX_TOLD,
   })
   const borrower = createStateBorrower({
     knowledge,
@@ -80,18 +82,24 @@
       targetsReadMs: finiteOrNull(knowledge.targetsReadMs()),
       targetsAgeMs: finiteOrNull(knowledge.targetsAgeMs()),
       stopping: options.isStopping(),
-      inFlight: Object.fromEntries(load.own()),
-      placed: placements.takeNews(),
+      ...encodeWork(knowledge.targetIds(), load.own(), placements.takeNews()),
     }
   }
 
+  /** Takes in counts and placements, which name targets by their place in a list. */
+  function takeWork(heard: PeerDigest): void {
+    if (heard.targetsFingerprint !== knowledge.targetsFingerprint()) return
+    const ids = knowledge.targetIds()
+    load.heard(heard.router, decodeInFlight(ids, heard), now())
+    placements.heard(decodePlaced(ids, heard))
+  }
+
   function onDigest(heard: PeerDigest, host: string): void {
     if (heard.router === router) return
     const wasLive = table.find(heard.router, now()) !== undefined
     if (!table.heard(heard, host, now())) return
     if (!wasLive) log.write(LogEvent.PeerFound, { peer: heard.router })
-    load.heard(heard.router, new Map(Object.entries(heard.inFlight)), now())
-    placements.heard(heard.placed)
+    takeWork(heard)
     const peer = table.find(heard.router, now())
     if (peer) borrower.heard(peer)
   }
--- a/packages/router/src/node/peers/peerDigest.ts
+++ b/packages/router/src/node/peers/peerDigest.ts
@@ -17,10 +17,10 @@
   /** Milliseconds up to which the router surely has all changes of the list. */
   targetsAgeMs: v.nullable(v.number()),
   stopping: v.boolean(),
-  /** Requests in flight by target id. */
-  inFlight: v.record(v.string(), v.number()),
-  /** Prompts sent to targets since the last digest. */
-  placed: v.array(v.pipe(v.tuple([v.string(), v.string()]), v.readonly())),
+  /** Requests in flight at each target of the list, in the order of ids. */
+  inFlight: v.array(v.number()),
+  /** Prompts since the last digest and the places in the list of their targets. */
+  placed: v.array(v.pipe(v.tuple([v.string(), v.number()]), v.readonly())),
 })
 
 /** What a router tells its peers several times a second. */
--- a/packages/router/src/node/peers/routerKnowledge.ts
+++ b/packages/router/src/node/peers/routerKnowledge.ts
@@ -14,6 +14,8 @@
   /** Returns the configuration in force if it is newer than `version`. */
   configurationSince(version: number): RouterConfiguration | undefined
   targets(): readonly Target[]
+  /** Ids of all targets in order; the same wherever the fingerprint is. */
+  targetIds(): readonly string[]
   takeConfiguration(configuration: RouterConfiguration, from: string): void
   takeTargets(targets: readonly Target[], ageMs: number): void
   /** Notes that a peer had the same list of targets `ageMs` ago. */
--- a/packages/router/src/node/routing/createFleetLoad.ts
+++ b/packages/router/src/node/routing/createFleetLoad.ts
@@ -22,7 +22,7 @@
  * Creates an empty load.
  * @param staleMs Milliseconds after which a peer's counts are no longer used.
  */
-export function createFleetLoad(staleMs: number): FleetLoad {
+export function createFleetLoad(staleMs: () => number): FleetLoad {
   const own = new Map<string, number>()
   const peers = new Map<string, PeerCounts>()
 
@@ -40,9 +40,10 @@
       peers.set(router, { counts, heardAtMs: nowMs })
     },
     total(targetId, nowMs) {
+      const limitMs = staleMs()
       let total = own.get(targetId) ?? 0
       for (const [router, { counts, heardAtMs }] of peers) {
-        if (nowMs - heardAtMs > staleMs) peers.delete(router)
+        if (nowMs - heardAtMs > limitMs) peers.delete(router)
         else total += counts.get(targetId) ?? 0
       }
       return total
--- a/packages/router/src/node/targets/createTargetView.ts
+++ b/packages/router/src/node/targets/createTargetView.ts
@@ -16,6 +16,8 @@
   /** Returns a target that is listed, leaving or not. */
   find(id: string): Target | undefined
   all(): Iterable<Target>
+  /** Ids of all targets in order; the same for views with the same fingerprint. */
+  ids(): readonly string[]
   /** Tells two views apart; the same for the same targets. */
   fingerprint(): number
   put(target: Target): void
@@ -33,6 +35,7 @@
   const missing = new Set<string>()
   let byService: Map<string, Target[]> | undefined
   let fingerprint: number | undefined
+  let ids: readonly string[] | undefined
   let rejoinUntilMs = -Infinity
 
   function index(): Map<string, Target[]> {
@@ -49,6 +52,7 @@
   function changed(): void {
     byService = undefined
     fingerprint = undefined
+    ids = undefined
   }
 
   function drop(id: string): void {
@@ -85,6 +89,10 @@
     },
     find: (id) => targets.get(id),
     all: () => targets.values(),
+    ids() {
+      ids ??= [...targets.keys()].sort()
+      return ids
+    },
     fingerprint() {
       fingerprint ??= fingerprintOf(targets.values())
       return fingerprint
