--- /dev/null
+++ b/packages/measure/src/node/placing/measureDigests.ts
@@ -0,0 +1,52 @@
+import { DIGEST_MS, MAX_TOLD } from '@auburnbay/router/constants'
+import { encodeWork } from '@auburnbay/router/peers/digestWork'
+import { encodeDigest } from '@auburnbay/router/peers/peerDigest'
+import type { TargetWork } from '@auburnbay/router/routing/targetWork'
+import type { Figure } from '../figure.js'
+import { CONTROL_BYTES_PER_S } from './constants.js'
+
+const MS_PER_S = 1_000
+/** Bytes of the headers of a datagram: IPv4 and UDP. */
+const HEADER_BYTES = 28
+/** Prompts that a router places between two digests. */
+const PLACED = 4
+
+function digestBytes(targets: number): number {
+  const ids = Array.from({ length: targets }, (_, i) => `i-00000000${i}`)
+  const work = new Map<string, TargetWork>()
+  for (const [i, id] of ids.entries())
+    if (i % 2 === 0) work.set(id, { requests: 3, unreadTokens: 1_300 })
+  const placements = ids
+    .slice(0, PLACED)
+    .map((id, i) => [`5c1e07a${i}`, id] as const)
+  const digest = encodeDigest({
+    router: 'frontend-data-centre-1',
+    incarnation: '00000000',
+    sequence: 100_000,
+    port: 7_340,
+    configurationVersion: 10_000,
+    configurationReadMs: 100,
+    targetsFingerprint: 4_000_000_000,
+    targetsReadMs: 100,
+    targetsAgeMs: 100,
+    stopping: false,
+    ...encodeWork(ids, work, placements),
+  })
+  return digest.length + HEADER_BYTES
+}
+
+function measureFleet(routers: number, targets: number): Figure {
+  const told = Math.min(MAX_TOLD, routers - 1)
+  const bytes = digestBytes(targets)
+  return {
+    measure: `placing.digests-${routers}-routers`,
+    value: (bytes * told * MS_PER_S) / DIGEST_MS,
+    unit: `bytes/s sent by each router, ${targets} targets, with headers`,
+    bound: CONTROL_BYTES_PER_S,
+  }
+}
+
+/** Bytes of digests today. */
+export function measureDigests(): Figure[] {
+  return [measureFleet(7, 16), measureFleet(9, 10)]
+}
--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -175,7 +175,8 @@
     const lastEventId = progress.relay.lastEventId
     const sentAtMs = now()
     const fetchFrom = placer.findSource(call, target)
-    load.started(target.id)
+    const unreadTokens = placer.unreadTokens(call, target)
+    load.started(target.id, unreadTokens)
     silence.sent(target.id, sentAtMs)
     try {
       const result = await client.send({
@@ -194,6 +195,7 @@
           ...(lastEventId !== undefined && { lastEventId }),
         },
       })
+      load.read(target.id, unreadTokens)
       if (result.isErr()) return failed(call, target, progress, result.error)
       placer.placed(call, target)
       const headMs = now() - sentAtMs
--- a/packages/router/src/node/peers/__tests__/createPeerTable.test.ts
+++ b/packages/router/src/node/peers/__tests__/createPeerTable.test.ts
@@ -18,6 +18,7 @@
     targetsAgeMs: 10,
     stopping: false,
     inFlight: [0, 2],
+    unread: [0, 130],
     placed: [['prompt', 1]],
     ...fields,
   }
--- a/packages/router/src/node/peers/__tests__/digestWork.test.ts
+++ b/packages/router/src/node/peers/__tests__/digestWork.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
-import { decodeInFlight, decodePlaced, encodeWork } from '../digestWork.js'
+import { NO_WORK } from '../../routing/targetWork.js'
+import { decodePlaced, decodeWork, encodeWork } from '../digestWork.js'
 
 describe('digestWork', () => {
   it('reads back counts and placements of listed targets', () => {
@@ -9,14 +10,19 @@
     fc.assert(
       fc.property(
         fc.uniqueArray(id, { maxLength: 10 }),
-        fc.array(fc.tuple(id, fc.nat(100))),
+        fc.array(fc.tuple(id, fc.nat(100), fc.nat(90))),
         fc.array(fc.tuple(fc.string(), id)),
         (ids, counted, placements) => {
-          const counts = new Map(counted)
-          const work = encodeWork(ids, counts, placements)
-          const read = decodeInFlight(ids, work)
+          const own = new Map(
+            counted.map(([target, requests, hundreds]) => [
+              target,
+              { requests, unreadTokens: hundreds * 100 },
+            ]),
+          )
+          const work = encodeWork(ids, own, placements)
+          const read = decodeWork(ids, work)
           for (const listed of ids)
-            assert.equal(read.get(listed), counts.get(listed) ?? 0)
+            assert.deepEqual(read.get(listed), own.get(listed) ?? NO_WORK)
           const known = placements.filter(([, target]) => ids.includes(target))
           assert.deepEqual(decodePlaced(ids, work), known)
         },
--- a/packages/router/src/node/peers/createPeers.ts
+++ b/packages/router/src/node/peers/createPeers.ts
@@ -11,7 +11,7 @@
 import { createStateBorrower } from './createStateBorrower.js'
 import { joinDirectory } from './joinDirectory.js'
 import type { PeerDigest } from './peerDigest.js'
-import { decodeInFlight, decodePlaced, encodeWork } from './digestWork.js'
+import { decodePlaced, decodeWork, encodeWork } from './digestWork.js'
 import { isCovered, type ReadingAge } from './readerDuty.js'
 import type { RouterKnowledge } from './routerKnowledge.js'
 
@@ -90,7 +90,7 @@
   function takeWork(heard: PeerDigest): void {
     if (heard.targetsFingerprint !== knowledge.targetsFingerprint()) return
     const ids = knowledge.targetIds()
-    load.heard(heard.router, decodeInFlight(ids, heard), now())
+    load.heard(heard.router, decodeWork(ids, heard), now())
     placements.heard(decodePlaced(ids, heard))
   }
 
--- a/packages/router/src/node/peers/peerDigest.ts
+++ b/packages/router/src/node/peers/peerDigest.ts
@@ -19,6 +19,8 @@
   stopping: v.boolean(),
   /** Requests in flight at each target of the list, in the order of ids. */
   inFlight: v.array(v.number()),
+  /** Prompt tokens that each of them has to read, in hundreds. */
+  unread: v.array(v.number()),
   /** Prompts since the last digest and the places in the list of their targets. */
   placed: v.array(v.pipe(v.tuple([v.string(), v.number()]), v.readonly())),
 })
--- a/packages/router/src/node/routing/__tests__/choosePlace.test.ts
+++ b/packages/router/src/node/routing/__tests__/choosePlace.test.ts
@@ -20,11 +20,18 @@
   }))
 }
 
+const workOf =
+  (load: (id: string) => number, unread = 0) =>
+  (id: string) => ({
+    requests: load(id),
+    unreadTokens: unread,
+  })
+
 describe('choosePlace', () => {
   it('sends what shares a prompt to one target while loads allow', () => {
     const question = {
       targets: targets(13),
-      load: () => 3,
+      work: workOf(() => 3),
       affinity: 'prompt',
       holders: [],
     }
@@ -44,7 +51,7 @@
           const load = (id: string) => loads[Number(id.slice(1))] ?? 0
           const place = choosePlace({
             targets: list,
-            load,
+            work: workOf(load),
             spread: 'x',
             holders: [],
             ...(hasAffinity && { affinity }),
@@ -62,16 +69,20 @@
   it('sends hot prompts that overflow to the same next target', () => {
     const list = targets(6)
     const question = { targets: list, affinity: 'hot', holders: [] }
-    const home = choosePlace({ ...question, spread: '1', load: () => 0 })
+    const home = choosePlace({
+      ...question,
+      spread: '1',
+      work: workOf(() => 0),
+    })
     const load = (id: string) => (id === home?.id ? 50 : 1)
-    const next = choosePlace({ ...question, spread: '1', load })
-    const other = choosePlace({ ...question, spread: '2', load })
+    const next = choosePlace({ ...question, spread: '1', work: workOf(load) })
+    const other = choosePlace({ ...question, spread: '2', work: workOf(load) })
     assert.notEqual(next?.id, home?.id)
     assert.equal(next?.id, other?.id)
   })
 
   it('stays with the target that holds a prompt when others join', () => {
-    const before = { targets: targets(4), load: () => 2, holders: [] }
+    const before = { targets: targets(4), work: workOf(() => 2), holders: [] }
     for (let i = 0; i < 40; i += 1) {
       const key = { affinity: `prompt ${i}`, spread: String(i) }
       const home = choosePlace({ ...before, ...key })
@@ -84,11 +95,27 @@
     }
   })
 
+  it('gives a prompt that none holds to a target with little to read', () => {
+    const list = targets(6)
+    const question = {
+      targets: list,
+      affinity: 'new',
+      holders: [],
+      spread: '1',
+    }
+    const home = choosePlace({ ...question, work: workOf(() => 1) })
+    const work = (id: string) => ({
+      requests: 1,
+      unreadTokens: id === home?.id ? 12_000 : 0,
+    })
+    assert.notEqual(choosePlace({ ...question, work })?.id, home?.id)
+  })
+
   it('leaves a holder that is over the bound', () => {
     const load = (id: string) => (id === 't0' ? 40 : 1)
     const place = choosePlace({
       targets: targets(6),
-      load,
+      work: workOf(load),
       affinity: 'prompt',
       holders: ['t0'],
       spread: '1',
@@ -103,7 +130,7 @@
       seen.add(
         choosePlace({
           targets: list,
-          load: () => 0,
+          work: workOf(() => 0),
           spread: String(i),
           holders: [],
         })?.id,
@@ -112,7 +139,12 @@
   })
 
   it('finds no place among no targets', () => {
-    const question = { targets: [], load: () => 0, spread: 'x', holders: [] }
+    const question = {
+      targets: [],
+      work: workOf(() => 0),
+      spread: 'x',
+      holders: [],
+    }
     assert.equal(choosePlace(question), undefined)
   })
 })
--- a/packages/router/src/node/routing/choosePlace.ts
+++ b/packages/router/src/node/routing/choosePlace.ts
@@ -1,12 +1,13 @@
 import { rendezvousOrder } from '@auburnbay/core/routing/rendezvousOrder'
 import type { Target } from '../targets/target.js'
+import type { TargetWork } from './targetWork.js'
 
 /** What a choice is made from. */
 export interface PlaceQuestion {
   /** Targets that may run the request. */
   readonly targets: readonly Target[]
-  /** Requests in flight at a target, from the whole fleet. */
-  readonly load: (targetId: string) => number
+  /** Work under way at a target, from the whole fleet. */
+  readonly work: (targetId: string) => TargetWork
   /** What the request shares with others; undefined spreads it. */
   readonly affinity?: string
   /** Ids of targets that hold what the request shares. */
@@ -20,6 +21,9 @@
 /** Requests above it, so that small loads do not scatter prompts. */
 const AFFINITY_LOAD_MARGIN = 2
 
+/** Targets that a prompt which none holds may go to. */
+const CANDIDATES = 3
+
 function orderBy(key: string, targets: readonly Target[]): Target[] {
   return rendezvousOrder(
     key,
@@ -28,13 +32,13 @@
 }
 
 function leastLoaded(
-  { load, spread }: PlaceQuestion,
+  { work, spread }: PlaceQuestion,
   targets: readonly Target[],
 ): Target | undefined {
   let best: Target | undefined
   let bestLoad = Infinity
   for (const target of orderBy(spread, targets)) {
-    const share = (load(target.id) + 1) / Math.max(1, target.slots)
+    const share = (work(target.id).requests + 1) / Math.max(1, target.slots)
     if (share >= bestLoad) continue
     best = target
     bestLoad = share
@@ -42,16 +46,39 @@
   return best
 }
 
-/** Chooses the target of a request; undefined where there is none. */
-export function choosePlace(question: PlaceQuestion): Target | undefined {
-  const { targets, load, affinity, holders } = question
-  if (affinity === undefined) return leastLoaded(question, targets)
+/** Returns the target that has least to read, the first of equals. */
+function leastToRead(
+  { work }: PlaceQuestion,
+  targets: readonly Target[],
+): Target | undefined {
+  let best: Target | undefined
+  let bestTokens = Infinity
+  for (const target of targets) {
+    const { unreadTokens } = work(target.id)
+    if (unreadTokens >= bestTokens) continue
+    best = target
+    bestTokens = unreadTokens
+  }
+  return best
+}
+
+/** Returns the targets that may take one more without carrying too much. */
+function withinBound({ targets, work }: PlaceQuestion): Target[] {
   let total = 0
-  for (const { id } of targets) total += load(id)
+  for (const { id } of targets) total += work(id).requests
   const mean = total / Math.max(1, targets.length)
   const bound = AFFINITY_LOAD_FACTOR * mean + AFFINITY_LOAD_MARGIN
-  const open = targets.filter(({ id }) => load(id) + 1 <= bound)
+  return targets.filter(({ id }) => work(id).requests + 1 <= bound)
+}
+
+/** Chooses the target of a request; undefined where there is none. */
+export function choosePlace(question: PlaceQuestion): Target | undefined {
+  const { targets, affinity, holders } = question
+  if (affinity === undefined) return leastLoaded(question, targets)
+  const open = withinBound(question)
   const holding = open.filter(({ id }) => holders.includes(id))
-  if (holding.length > 0) return leastLoaded(question, holding)
-  return orderBy(affinity, open)[0] ?? leastLoaded(question, targets)
+  if (holding.length > 0) return leastToRead(question, holding)
+  // Routers that place the same prompt at once look at the same few targets.
+  const candidates = orderBy(affinity, open).slice(0, CANDIDATES)
+  return leastToRead(question, candidates) ?? leastLoaded(question, targets)
 }
--- a/packages/router/src/node/routing/createFleetLoad.ts
+++ b/packages/router/src/node/routing/createFleetLoad.ts
@@ -1,52 +1,70 @@
-/** Requests in flight at each target, by target id. */
-export type InFlightCounts = ReadonlyMap<string, number>
+import { NO_WORK, type TargetWork, type WorkByTarget } from './targetWork.js'
 
-/** Requests in flight at targets, from this router and its peers. */
+/** Work under way at targets, from this router and its peers. */
 export interface FleetLoad {
-  started(targetId: string): void
+  /** A request is sent, of whose prompt the target must read `unreadTokens`. */
+  started(targetId: string, unreadTokens: number): void
+  /** The target has read that many tokens, or never will. */
+  read(targetId: string, tokens: number): void
   ended(targetId: string): void
-  /** Requests that this router has in flight. */
-  own(): InFlightCounts
-  /** Takes in a peer's counts. */
-  heard(router: string, counts: InFlightCounts, nowMs: number): void
-  /** Requests that all routers have in flight at a target. */
-  total(targetId: string, nowMs: number): number
+  /** Work that this router has under way. */
+  own(): WorkByTarget
+  /** Takes in what a peer has under way. */
+  heard(router: string, work: WorkByTarget, nowMs: number): void
+  /** Work that all routers have under way at a target. */
+  total(targetId: string, nowMs: number): TargetWork
 }
 
-interface PeerCounts {
-  readonly counts: InFlightCounts
+interface PeerWork {
+  readonly work: WorkByTarget
   readonly heardAtMs: number
 }
 
 /**
  * Creates an empty load.
- * @param staleMs Milliseconds after which a peer's counts are no longer used.
+ * @param staleMs Milliseconds after which what a peer told is no longer used.
  */
 export function createFleetLoad(staleMs: () => number): FleetLoad {
-  const own = new Map<string, number>()
-  const peers = new Map<string, PeerCounts>()
+  const own = new Map<string, TargetWork>()
+  const peers = new Map<string, PeerWork>()
+
+  function add(targetId: string, requests: number, tokens: number): void {
+    const work = own.get(targetId) ?? NO_WORK
+    const sum = {
+      requests: work.requests + requests,
+      unreadTokens: work.unreadTokens + tokens,
+    }
+    if (sum.requests > 0) own.set(targetId, sum)
+    else own.delete(targetId)
+  }
 
   return {
-    started(targetId) {
-      own.set(targetId, (own.get(targetId) ?? 0) + 1)
+    started(targetId, unreadTokens) {
+      add(targetId, 1, unreadTokens)
+    },
+    read(targetId, tokens) {
+      add(targetId, 0, -tokens)
     },
     ended(targetId) {
-      const count = (own.get(targetId) ?? 0) - 1
-      if (count > 0) own.set(targetId, count)
-      else own.delete(targetId)
+      add(targetId, -1, 0)
     },
     own: () => own,
-    heard(router, counts, nowMs) {
-      peers.set(router, { counts, heardAtMs: nowMs })
+    heard(router, work, nowMs) {
+      peers.set(router, { work, heardAtMs: nowMs })
     },
     total(targetId, nowMs) {
       const limitMs = staleMs()
-      let total = own.get(targetId) ?? 0
-      for (const [router, { counts, heardAtMs }] of peers) {
-        if (nowMs - heardAtMs > limitMs) peers.delete(router)
-        else total += counts.get(targetId) ?? 0
+      let { requests, unreadTokens } = own.get(targetId) ?? NO_WORK
+      for (const [router, { work, heardAtMs }] of peers) {
+        if (nowMs - heardAtMs > limitMs) {
+          peers.delete(router)
+          continue
+        }
+        const told = work.get(targetId) ?? NO_WORK
+        requests += told.requests
+        unreadTokens += told.unreadTokens
       }
-      return total
+      return { requests, unreadTokens }
     },
   }
 }
--- a/packages/router/src/node/routing/createPlacer.ts
+++ b/packages/router/src/node/routing/createPlacer.ts
@@ -27,6 +27,8 @@
   place(call: Call, tried: ReadonlySet<string>): Target | undefined
   /** Returns a target that holds the call's prompt, where the one chosen does not. */
   findSource(call: Call, chosen: Target): Target | undefined
+  /** Returns the prompt tokens of a call that a target surely has to read. */
+  unreadTokens(call: Call, target: Target): number
   /** Notes that a target has taken a call. */
   placed(call: Call, target: Target): void
 }
@@ -51,7 +53,7 @@
       const key = keyOf(call)
       return choosePlace({
         targets: open.length > 0 ? open : untried,
-        load: (id) => load.total(id, nowMs),
+        work: (id) => load.total(id, nowMs),
         spread: call.request.attemptId,
         holders: key === undefined ? [] : placements.holders(key),
         ...(key !== undefined && { affinity: key }),
@@ -68,6 +70,16 @@
       }
       return undefined
     },
+    unreadTokens(call, target) {
+      const key = keyOf(call)
+      if (key === undefined) return 0
+      const parts = call.request.promptParts
+      if (placements.holders(key).includes(target.id))
+        return parts.at(-1)?.tokens ?? 0
+      let tokens = 0
+      for (const part of parts) tokens += part.tokens
+      return tokens
+    },
     placed(call, target) {
       const key = keyOf(call)
       if (key !== undefined) placements.placed(key, target.id)
