Let only short prompts choose where least is to be read

Change: prompts up to 3,000 tokens choose among three targets, longer ones go by hash; a placement is told when it is sent.

--- a/packages/measure/src/node/placing/simulatePlacing.ts
+++ b/packages/measure/src/node/placing/simulatePlacing.ts
@@ -79,6 +79,7 @@
       targets,
       work: (id) => load.total(id, queue.nowMs),
       affinity: key,
+      promptTokens: trace.promptTokens,
       holders: placements.holders(key),
       spread: String(result.requests),
     })
--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -177,6 +177,7 @@
     const fetchFrom = placer.findSource(call, target)
     const unreadTokens = placer.unreadTokens(call, target)
     load.started(target.id, unreadTokens)
+    placer.placed(call, target)
     silence.sent(target.id, sentAtMs)
     try {
       const result = await client.send({
@@ -196,8 +197,10 @@
         },
       })
       load.read(target.id, unreadTokens)
-      if (result.isErr()) return failed(call, target, progress, result.error)
-      placer.placed(call, target)
+      if (result.isErr()) {
+        if (result.error.verdict === Verdict.NotRun) placer.lost(call, target)
+        return failed(call, target, progress, result.error)
+      }
       const headMs = now() - sentAtMs
       patience.note(route.name, headMs)
       metrics.headSeen(call.service, headMs / MS_PER_S)
--- a/packages/router/src/node/constants.ts
+++ b/packages/router/src/node/constants.ts
@@ -1,5 +1,7 @@
 /** Milliseconds between two digests to peers; a fifth of the second in which load moves. */
 export const DIGEST_MS = 200
+/** Milliseconds within which peers learn of a new prompt, before they place it elsewhere. */
+export const TELL_SOON_MS = 20
 /** Peers that one digest goes to; keeps 5 digests/s of some 200 bytes within 27 KB/s. */
 export const MAX_TOLD = 16
 /** Digests that may be lost before a peer's counts are no longer used. */
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -174,6 +174,9 @@
         silence,
         sharesCache: (service) =>
           keeper.current?.services.get(service)?.sharesCache ?? false,
+        onNewPrompt: () => {
+          peers.current?.tellSoon()
+        },
         now,
       }),
       health,
--- a/packages/router/src/node/peers/createPeers.ts
+++ b/packages/router/src/node/peers/createPeers.ts
@@ -41,6 +41,8 @@
   unreadAtMs(): number
   /** Tells every peer at once. */
   tell(): void
+  /** Tells every peer within some milliseconds, once for many calls. */
+  tellSoon(): void
   close(): void
 }
 
@@ -142,6 +144,15 @@
       log.write(LogEvent.PeerLost, { peer })
     tell()
   }, constants.DIGEST_MS)
+  let soon: NodeJS.Timeout | undefined
+
+  function tellSoon(): void {
+    soon ??= setTimeout(() => {
+      soon = undefined
+      tell()
+    }, constants.TELL_SOON_MS)
+  }
+
   const joined = joinDirectory({
     directory: options.directory,
     router,
@@ -165,7 +176,9 @@
     readTargets: () => peersRead((last) => last.targetsReadMs),
     unreadAtMs: () => unreadAtMs,
     tell,
+    tellSoon,
     close() {
+      clearTimeout(soon)
       clearInterval(telling)
       joined.leave()
       socket.close()
--- a/packages/router/src/node/routing/__tests__/choosePlace.test.ts
+++ b/packages/router/src/node/routing/__tests__/choosePlace.test.ts
@@ -33,6 +33,7 @@
       targets: targets(13),
       work: workOf(() => 3),
       affinity: 'prompt',
+      promptTokens: 800,
       holders: [],
     }
     const first = choosePlace({ ...question, spread: '1' })
@@ -53,6 +54,7 @@
             targets: list,
             work: workOf(load),
             spread: 'x',
+            promptTokens: 800,
             holders: [],
             ...(hasAffinity && { affinity }),
           })
@@ -68,7 +70,12 @@
 
   it('sends hot prompts that overflow to the same next target', () => {
     const list = targets(6)
-    const question = { targets: list, affinity: 'hot', holders: [] }
+    const question = {
+      targets: list,
+      affinity: 'hot',
+      promptTokens: 800,
+      holders: [],
+    }
     const home = choosePlace({
       ...question,
       spread: '1',
@@ -82,13 +89,19 @@
   })
 
   it('stays with the target that holds a prompt when others join', () => {
-    const before = { targets: targets(4), work: workOf(() => 2), holders: [] }
+    const before = {
+      targets: targets(4),
+      work: workOf(() => 2),
+      promptTokens: 800,
+      holders: [],
+    }
     for (let i = 0; i < 40; i += 1) {
       const key = { affinity: `prompt ${i}`, spread: String(i) }
       const home = choosePlace({ ...before, ...key })
       const after = {
         ...before,
         targets: targets(8),
+        promptTokens: 800,
         holders: [home?.id ?? ''],
       }
       assert.equal(choosePlace({ ...after, ...key })?.id, home?.id)
@@ -100,6 +113,7 @@
     const question = {
       targets: list,
       affinity: 'new',
+      promptTokens: 800,
       holders: [],
       spread: '1',
     }
@@ -109,6 +123,9 @@
       unreadTokens: id === home?.id ? 12_000 : 0,
     })
     assert.notEqual(choosePlace({ ...question, work })?.id, home?.id)
+    const long = { ...question, promptTokens: 12_000 }
+    const longHome = choosePlace({ ...long, work: workOf(() => 1) })
+    assert.equal(choosePlace({ ...long, work })?.id, longHome?.id)
   })
 
   it('leaves a holder that is over the bound', () => {
@@ -117,6 +134,7 @@
       targets: targets(6),
       work: workOf(load),
       affinity: 'prompt',
+      promptTokens: 800,
       holders: ['t0'],
       spread: '1',
     })
@@ -132,6 +150,7 @@
           targets: list,
           work: workOf(() => 0),
           spread: String(i),
+          promptTokens: 800,
           holders: [],
         })?.id,
       )
@@ -143,6 +162,7 @@
       targets: [],
       work: workOf(() => 0),
       spread: 'x',
+      promptTokens: 800,
       holders: [],
     }
     assert.equal(choosePlace(question), undefined)
--- a/packages/router/src/node/routing/__tests__/createPlacements.test.ts
+++ b/packages/router/src/node/routing/__tests__/createPlacements.test.ts
@@ -19,6 +19,17 @@
     assert.deepEqual(placements.all(), [['a', 't4']])
   })
 
+  it('forgets a target that did not get a prompt', () => {
+    const placements = createPlacements(10)
+    placements.placed('a', 't1')
+    placements.placed('a', 't2')
+    placements.lost('a', 't2')
+    assert.deepEqual(placements.holders('a'), ['t1'])
+    assert.deepEqual(placements.takeNews(), [])
+    placements.lost('a', 't1')
+    assert.deepEqual(placements.holders('a'), [])
+  })
+
   it('forgets the prompts that were not used for longest', () => {
     const placements = createPlacements(2)
     for (const key of ['a', 'b', 'c']) placements.placed(key, 't')
--- a/packages/router/src/node/routing/choosePlace.ts
+++ b/packages/router/src/node/routing/choosePlace.ts
@@ -10,7 +10,8 @@
   readonly work: (targetId: string) => TargetWork
   /** What the request shares with others; undefined spreads it. */
   readonly affinity?: string
-  /** Ids of targets that hold what the request shares. */
+  readonly promptTokens: number
+  /** Ids of targets that hold what the request shares, the preferred first. */
   readonly holders: readonly string[]
   /** Breaks ties, other for each request. */
   readonly spread: string
@@ -21,8 +22,10 @@
 /** Requests above it, so that small loads do not scatter prompts. */
 const AFFINITY_LOAD_MARGIN = 2
 
-/** Targets that a prompt which none holds may go to. */
+/** Targets that a short prompt which none holds may go to. */
 const CANDIDATES = 3
+/** Tokens up to which a prompt is short: read within 30 to 60 ms at 112 and 55 tokens/ms. */
+const SHORT_PROMPT_TOKENS = 3_000
 
 function orderBy(key: string, targets: readonly Target[]): Target[] {
   return rendezvousOrder(
@@ -76,9 +79,10 @@
   const { targets, affinity, holders } = question
   if (affinity === undefined) return leastLoaded(question, targets)
   const open = withinBound(question)
-  const holding = open.filter(({ id }) => holders.includes(id))
+  const holding = holders.flatMap((id) => open.filter((one) => one.id === id))
   if (holding.length > 0) return leastToRead(question, holding)
-  // Routers that place the same prompt at once look at the same few targets.
-  const candidates = orderBy(affinity, open).slice(0, CANDIDATES)
+  // Two routers may place one prompt at once, which only a short one bears.
+  const isShort = question.promptTokens <= SHORT_PROMPT_TOKENS
+  const candidates = orderBy(affinity, open).slice(0, isShort ? CANDIDATES : 1)
   return leastToRead(question, candidates) ?? leastLoaded(question, targets)
 }
--- a/packages/router/src/node/routing/createPlacements.ts
+++ b/packages/router/src/node/routing/createPlacements.ts
@@ -10,6 +10,8 @@
 export interface Placements {
   /** Notes that this router sent a prompt to a target. */
   placed(key: string, targetId: string): void
+  /** Notes that a target did not get a prompt after all. */
+  lost(key: string, targetId: string): void
   /** Takes in what a peer placed. */
   heard(placements: readonly Placement[]): void
   /** Returns the targets that hold a prompt, the latest first. */
@@ -45,6 +47,12 @@
       add(key, targetId)
       if (news.size < MAX_NEWS) news.set(key, targetId)
     },
+    lost(key, targetId) {
+      const others = (byKey.get(key) ?? []).filter((id) => id !== targetId)
+      if (others.length > 0) byKey.set(key, others)
+      else byKey.delete(key)
+      if (news.get(key) === targetId) news.delete(key)
+    },
     heard(placements) {
       for (const [key, targetId] of placements) add(key, targetId)
     },
--- a/packages/router/src/node/routing/createPlacer.ts
+++ b/packages/router/src/node/routing/createPlacer.ts
@@ -1,4 +1,5 @@
 import type { Call } from '../callers/call.js'
+import type { PromptPart } from '../callers/promptPart.js'
 import type { SilenceWatch } from '../health/createSilenceWatch.js'
 import type { TargetHealth } from '../health/createTargetHealth.js'
 import type { TargetView } from '../targets/createTargetView.js'
@@ -17,6 +18,8 @@
   readonly silence: SilenceWatch
   /** Whether a service's targets fetch cached prompts from each other. */
   readonly sharesCache: (service: string) => boolean
+  /** Called when a prompt that no target held was placed. */
+  readonly onNewPrompt: () => void
   /** Steady clock, in milliseconds. */
   readonly now: () => number
 }
@@ -29,14 +32,22 @@
   findSource(call: Call, chosen: Target): Target | undefined
   /** Returns the prompt tokens of a call that a target surely has to read. */
   unreadTokens(call: Call, target: Target): number
-  /** Notes that a target has taken a call. */
+  /** Notes that a call is sent to a target. */
   placed(call: Call, target: Target): void
+  /** Notes that a target surely did not run a call. */
+  lost(call: Call, target: Target): void
 }
 
 function keyOf({ request, route }: Call): string | undefined {
   return route.cachesPrompts ? affinityKey(request.promptParts) : undefined
 }
 
+function tokensOf(parts: readonly PromptPart[]): number {
+  let tokens = 0
+  for (const part of parts) tokens += part.tokens
+  return tokens
+}
+
 /** Creates a placer. */
 export function createPlacer(options: PlacerOptions): Placer {
   const { view, load, placements, health, silence, sharesCache, now } = options
@@ -54,6 +65,7 @@
       return choosePlace({
         targets: open.length > 0 ? open : untried,
         work: (id) => load.total(id, nowMs),
+        promptTokens: tokensOf(call.request.promptParts),
         spread: call.request.attemptId,
         holders: key === undefined ? [] : placements.holders(key),
         ...(key !== undefined && { affinity: key }),
@@ -76,13 +88,18 @@
       const parts = call.request.promptParts
       if (placements.holders(key).includes(target.id))
         return parts.at(-1)?.tokens ?? 0
-      let tokens = 0
-      for (const part of parts) tokens += part.tokens
-      return tokens
+      return tokensOf(parts)
     },
     placed(call, target) {
       const key = keyOf(call)
-      if (key !== undefined) placements.placed(key, target.id)
+      if (key === undefined) return
+      const isNew = placements.holders(key).length === 0
+      placements.placed(key, target.id)
+      if (isNew) options.onNewPrompt()
+    },
+    lost(call, target) {
+      const key = keyOf(call)
+      if (key !== undefined) placements.lost(key, target.id)
     },
   }
 }
