Name target, sends and age of the list on a request's last line

Cause: docs/OPERATIONS.md leads from an id to its cause, but a request that went well on its second send named no target, and a start that failed wrote a stack. Change: request-ended carries the last target, the number of sends and the age of the list of targets; an uncaught error is one line, failed; a request before the first configuration is refused as starting.

--- a/packages/core/src/node/verdict/failureCode.ts
+++ b/packages/core/src/node/verdict/failureCode.ts
@@ -17,6 +17,7 @@
   KeyReused = 'key-reused',
   KeyTooOld = 'key-too-old',
   LogUnavailable = 'log-unavailable',
+  Starting = 'starting',
   Stopping = 'stopping',
   Internal = 'internal',
 }
--- a/packages/daemon/src/node/callers/createFailure.ts
+++ b/packages/daemon/src/node/callers/createFailure.ts
@@ -18,6 +18,7 @@
   [FailureCode.KeyReused]: 422,
   [FailureCode.KeyTooOld]: 409,
   [FailureCode.LogUnavailable]: 503,
+  [FailureCode.Starting]: 503,
   [FailureCode.Stopping]: 503,
   [FailureCode.Internal]: 500,
 }
--- a/packages/router/src/node/callers/createCallerServer.ts
+++ b/packages/router/src/node/callers/createCallerServer.ts
@@ -43,6 +43,8 @@
   readonly dispatcher: Dispatcher
   readonly log: DecisionLog
   readonly metrics: RouterMetrics
+  /** Milliseconds up to which the list of targets surely has all changes. */
+  readonly targetsAgeMs: () => number
   /** Steady clock, in milliseconds. */
   readonly now: () => number
 }
@@ -145,7 +147,8 @@
       signal: over.signal,
       dueAtMs: startedAtMs + limitMs,
     }
-    const failure = await dispatcher.dispatch(call, res)
+    const outcome = await dispatcher.dispatch(call, res)
+    const { failure, sends, target } = outcome
     clearTimeout(timer)
     const callerGone = res.closed && !res.writableFinished
     if (failure && !callerGone) sendFailure(res, failure)
@@ -158,6 +161,9 @@
       service: admitted.service,
       customer: admitted.customer?.name,
       version: keeper.version,
+      targetsAgeMs: Math.round(options.targetsAgeMs()),
+      target,
+      sends,
       status,
       callerGone,
       verdict: failure?.verdict ?? Verdict.Ran,
--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -1,6 +1,5 @@
 import type { ServerResponse } from 'node:http'
 import { TargetOutcome } from '@auburnbay/core/health/targetOutcome'
-import type { RequestFailure } from '@auburnbay/core/verdict/requestFailure'
 import { combineVerdicts } from '@auburnbay/core/verdict/attemptProgress'
 import { Verdict } from '@auburnbay/core/verdict/verdict'
 import type { SilenceWatch } from '../health/createSilenceWatch.js'
@@ -25,6 +24,7 @@
 } from '../targets/targetFailure.js'
 import type { TargetProtocol } from '../targets/targetProtocol.js'
 import type { Call } from './call.js'
+import type { DispatchOutcome } from './dispatchOutcome.js'
 import {
   type CallProgress,
   createCallProgress,
@@ -59,8 +59,7 @@
 
 /** Sends calls to targets and their answers to callers. */
 export interface Dispatcher {
-  /** Resolves with the failure to tell the caller, or nothing once answered. */
-  dispatch(call: Call, res: ServerResponse): Promise<RequestFailure | undefined>
+  dispatch(call: Call, res: ServerResponse): Promise<DispatchOutcome>
 }
 
 /** Whether the call goes on after a send. */
@@ -215,7 +214,7 @@
   async function dispatch(
     call: Call,
     res: ServerResponse,
-  ): Promise<RequestFailure | undefined> {
+  ): Promise<DispatchOutcome> {
     const relay = createAnswerRelay(call, res, options.protocol)
     const progress = createCallProgress(relay)
     const allowance = options.allowanceOf(call.service)
@@ -232,7 +231,13 @@
       const next = await attempt(call, target, progress)
       if (next === Next.Done) break
     }
-    return res.writableEnded ? undefined : failureOf(call, progress, now())
+    const { sends } = progress
+    const target = [...progress.tried].at(-1)
+    return {
+      sends,
+      ...(target !== undefined && { target }),
+      ...(!res.writableEnded && { failure: failureOf(call, progress, now()) }),
+    }
   }
 
   return { dispatch }
--- a/packages/router/src/node/callers/failures.ts
+++ b/packages/router/src/node/callers/failures.ts
@@ -28,7 +28,7 @@
 /** The failures that a router answers by itself. */
 export const failures = {
   starting: notRun(
-    FailureCode.Internal,
+    FailureCode.Starting,
     503,
     'no configuration is known yet; try again',
     STARTING_S,
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -190,6 +190,7 @@
     }),
     log,
     metrics,
+    targetsAgeMs: () => targets.ageMs(),
     now,
   })
 
--- a/packages/router/src/node/logging/logEvent.ts
+++ b/packages/router/src/node/logging/logEvent.ts
@@ -1,6 +1,7 @@
 /** What a log line is about. */
 export enum LogEvent {
   Started = 'started',
+  Failed = 'failed',
   Paused = 'paused',
   Stopping = 'stopping',
   Stopped = 'stopped',
--- a/packages/router/src/node/runRouter.ts
+++ b/packages/router/src/node/runRouter.ts
@@ -32,6 +32,11 @@
   }
   const log = createDecisionLog(settings.value.router.id)
   const ports = createPorts(settings.value.logService, log)
+  process.on('uncaughtException', (error) => {
+    log.write(LogEvent.Failed, { reason: error.stack ?? error.message })
+    log.close()
+    process.exit(1)
+  })
   const router = await createRouter(settings.value, ports, log)
 
   function reload(): void {
