--- a/packages/daemon/src/node/targets/forwardedHeaders.ts
+++ b/packages/daemon/src/node/targets/forwardedHeaders.ts
@@ -1,16 +1,7 @@
 import type { IncomingHttpHeaders, OutgoingHttpHeaders } from 'node:http'
+import { connectionOptions, HOP_BY_HOP } from '@auburnbay/http-utils'
 
-const HOP_BY_HOP = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-])
+const DROPPED = new Set(HOP_BY_HOP)
 
 const OWN_HEADER_PREFIX = 'x-auburnbay-'
 
@@ -26,8 +17,7 @@
 ])
 
 function connectionTokens(headers: IncomingHttpHeaders): Set<string> {
-  const tokens = (headers.connection ?? '').toLowerCase().split(',')
-  return new Set(tokens.map((token) => token.trim()))
+  return new Set(connectionOptions(headers.connection ?? ''))
 }
 
 /** Returns the headers of a caller's request that go on to a target. */
@@ -37,7 +27,7 @@
   const named = connectionTokens(headers)
   const kept: OutgoingHttpHeaders = {}
   for (const [name, value] of Object.entries(headers)) {
-    if (HOP_BY_HOP.has(name) || NEVER_TO_TARGETS.has(name)) continue
+    if (DROPPED.has(name) || NEVER_TO_TARGETS.has(name)) continue
     if (named.has(name)) continue
     kept[name] = value
   }
@@ -51,7 +41,7 @@
   const named = connectionTokens(headers)
   const kept: OutgoingHttpHeaders = {}
   for (const [name, value] of Object.entries(headers)) {
-    if (HOP_BY_HOP.has(name) || named.has(name)) continue
+    if (DROPPED.has(name) || named.has(name)) continue
     // Only routers say what these headers say.
     if (name.startsWith(OWN_HEADER_PREFIX)) continue
     kept[name] = value
