Pass a target's own failure on where no other target is left

Cause: found while reading: a 500 was given up for a second send before it was known that there is a target for it; the caller then got a 502 of ours. Besides, after a refusal the retry allowance was asked twice for one send. Change: a failure is given up only where a place for the next send is found; a send is paid for once.

--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -16,7 +16,6 @@
   TargetAnswer,
   TargetClient,
 } from '../targets/createTargetClient.js'
-import type { TargetView } from '../targets/createTargetView.js'
 import type { Target } from '../targets/target.js'
 import {
   type TargetFailure,
@@ -43,7 +42,6 @@
 
 /** What the dispatcher works with. */
 export interface DispatcherOptions {
-  readonly view: TargetView
   readonly load: FleetLoad
   readonly placer: Placer
   readonly health: TargetHealth
@@ -66,13 +64,14 @@
 enum Next {
   Done = 'done',
   OtherTarget = 'other-target',
+  /** As above; the retry allowance has been asked already. */
+  OtherTargetPaid = 'other-target-paid',
 }
 
 /** Creates a dispatcher. */
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const patience = createPatience()
-  const { view, load, placer, health, silence, client, log, metrics, now } =
-    options
+  const { load, placer, health, silence, client, log, metrics, now } = options
 
   function patienceMs(
     call: Call,
@@ -118,9 +117,8 @@
     { head }: TargetAnswer,
   ): boolean {
     if (head.status < SERVER_ERROR_FROM || progress.relay.begun) return false
-    return (
-      mayRunAgain(call, progress) && view.ready(call.service, now()).length > 1
-    )
+    if (!mayRunAgain(call, progress)) return false
+    return placer.place(call, progress.tried) !== undefined
   }
 
   async function answered(
@@ -141,7 +139,7 @@
     ) {
       answer.res.resume()
       metrics.resent(call.service, `status-${status}`)
-      return Next.OtherTarget
+      return Next.OtherTargetPaid
     }
     const end = progress.relay.fits(answer)
       ? await progress.relay.relay(answer, () => {
@@ -219,17 +217,20 @@
     const progress = createCallProgress(relay)
     const allowance = options.allowanceOf(call.service)
     allowance.noteRequest(now())
+
+    function mayResend(): boolean {
+      if (!allowance.take(now())) return false
+      metrics.resent(call.service, progress.lastCause ?? 'unknown')
+      return true
+    }
+
     while (progress.sends < MAX_SENDS && !call.signal.aborted) {
       if (call.dueAtMs - now() < MIN_REMAINING_MS) break
       const target = placer.place(call, progress.tried)
       if (!target) break
-      const isResend = progress.sends > 0
-      const isPaid = progress.lastCause === undefined
-      if (isResend && !isPaid && !allowance.take(now())) break
-      if (isResend && progress.lastCause !== undefined)
-        metrics.resent(call.service, progress.lastCause)
       const next = await attempt(call, target, progress)
       if (next === Next.Done) break
+      if (next === Next.OtherTarget && !mayResend()) break
     }
     const { sends } = progress
     const target = [...progress.tried].at(-1)
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -164,7 +164,6 @@
     keeper,
     protocol: ports.callerProtocol,
     dispatcher: createDispatcher({
-      view,
       load,
       placer: createPlacer({
         view,
