Take out what the router decodes, checks and declares for nothing

Cause: found while reading the whole change: each answer's load header was decoded and never used, the type for making ports stood unused beside the same type written out, one check before a body was read repeated the one after it, and two refusals shared a condition that hid their order. Ruled out: any change of behaviour; nothing read the removed fields. Change: those parts go; the header's name stays among those that the test of platform names looks for.

--- a/packages/router/src/node/callers/createCallerServer.ts
+++ b/packages/router/src/node/callers/createCallerServer.ts
@@ -176,7 +176,6 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
-    if (closing) res.shouldKeepAlive = false
     const request = protocol.decodeRequest(req)
     const limits = keeper.current?.configuration.limits
     const maxBytes = limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES
@@ -192,9 +191,12 @@
     const admitted = inForce
       ? admit(req, request, inForce)
       : err(failures.starting)
-    if (refusing || admitted.isErr()) {
-      const failure = admitted.isErr() ? admitted.error : failures.stopping
-      refuse(res, request.attemptId, refusing ? failures.stopping : failure)
+    if (refusing) {
+      refuse(res, request.attemptId, failures.stopping)
+      return
+    }
+    if (admitted.isErr()) {
+      refuse(res, request.attemptId, admitted.error)
       return
     }
     await run(admitted.value, body.value, res)
--- a/packages/router/src/node/routerPorts.ts
+++ b/packages/router/src/node/routerPorts.ts
@@ -25,5 +25,8 @@
   readonly directory: RouterDirectory
 }
 
-/** Makes the ports of a router. */
-export type CreatePorts = (log: DecisionLog) => RouterPorts
+/** Connects a router to the log service at an address. */
+export type CreatePorts = (
+  logService: PeerAddress,
+  log: DecisionLog,
+) => RouterPorts
--- a/packages/router/src/node/runRouter.ts
+++ b/packages/router/src/node/runRouter.ts
@@ -1,11 +1,9 @@
 import { statSync } from 'node:fs'
 import process from 'node:process'
-import type { ListenAddress } from '@auburnbay/http-utils/listen'
 import { createRouter } from './createRouter.js'
 import { createDecisionLog } from './logging/createDecisionLog.js'
-import type { DecisionLog } from './logging/decisionLog.js'
 import { LogEvent } from './logging/logEvent.js'
-import type { RouterPorts } from './routerPorts.js'
+import type { CreatePorts } from './routerPorts.js'
 import { readSettings } from './settings/readSettings.js'
 
 /** Milliseconds between two looks at whether the settings file changed. */
@@ -23,7 +21,7 @@
 /** Runs a router as a process until a signal stops it. */
 export async function runRouter(
   settingsPath: string,
-  createPorts: (logService: ListenAddress, log: DecisionLog) => RouterPorts,
+  createPorts: CreatePorts,
 ): Promise<void> {
   const settings = readSettings(settingsPath)
   if (settings.isErr()) {
--- a/packages/router/src/node/targets/answerHead.ts
+++ b/packages/router/src/node/targets/answerHead.ts
@@ -1,5 +1,3 @@
-import type { TargetLoad } from './targetLoad.js'
-
 /** What the head of a target's answer says. */
 export interface AnswerHead {
   readonly status: number
@@ -11,5 +9,4 @@
   readonly wrongTarget: boolean
   /** Whether the target vouches that the answer is its own. */
   readonly signed: boolean
-  readonly load?: TargetLoad
 }
