Let an idle daemon ask and look less often

Cause: an idle daemon polled load and cache events of targets that no request had gone to, looked at its queues 20 times a second with nothing waiting, and took in the whole view 10 times a second. Ruled out: the polls alone. Change: engines of groups out of use are polled in one round of ten by one poller that both readers share (they had a copy each); queues are looked at only while something waits; the view is taken in each 500 ms while idle, and before a request or an ask of a peer when it is older than 200 ms. The measure observes the router with default reports, after the polls have slowed down, over 6 s in place of 2 s; the bound stays.

--- a/packages/daemon/src/node/admission/createAdmission.ts
+++ b/packages/daemon/src/node/admission/createAdmission.ts
@@ -32,6 +32,7 @@
 export function createAdmission(options: AdmissionOptions): Admission {
   const { settings, configuration, limits, concurrency, metrics, now } = options
   const queues = new Map<string, ServiceQueue>()
+  let refreshing: NodeJS.Timeout | undefined
 
   function queueOf(service: string): ServiceQueue {
     const known = queues.get(service)
@@ -64,7 +65,9 @@
     const queue = queueOf(service)
     queue.setConcurrency(concurrency(service))
     const waiting = toWaiting(request)
-    const entered = await queue.enter(waiting, request.signal)
+    const turn = queue.enter(waiting, request.signal)
+    refreshLater()
+    const entered = await turn
     const tags = { service, rank: String(rank) }
     metrics.timing('queue.wait', now() - waiting.enqueuedAtMs, tags)
     if (entered.isErr()) {
@@ -80,10 +83,17 @@
     })
   }
 
-  function refresh(): Promise<void> {
+  function refresh(): void {
+    refreshing = undefined
     for (const [service, queue] of queues)
       if (queue.waiting > 0) queue.setConcurrency(concurrency(service))
-    return Promise.resolve()
+    refreshLater()
+  }
+
+  // Nothing is looked at while nothing waits: an idle router stays idle.
+  function refreshLater(): void {
+    if (refreshing || sum((queue) => queue.waiting) === 0) return
+    refreshing = setTimeout(refresh, REFRESH_MS)
   }
 
   function report(): Promise<void> {
@@ -100,10 +110,7 @@
     return total
   }
 
-  const loops = [
-    createLoop(refresh, REFRESH_MS, () => undefined),
-    createLoop(report, REPORT_MS, () => undefined),
-  ]
+  const reports = createLoop(report, REPORT_MS, () => undefined)
   return {
     enter,
     inFlightByCustomer: () => limits.inFlight(),
@@ -123,7 +130,8 @@
       return sum((queue) => queue.waiting)
     },
     stop: async () => {
-      await Promise.all(loops.map((loop) => loop.stop()))
+      clearTimeout(refreshing)
+      await reports.stop()
     },
   }
 }
--- a/packages/daemon/src/node/createDaemon.ts
+++ b/packages/daemon/src/node/createDaemon.ts
@@ -97,13 +97,13 @@
     now,
   })
   const reporter = createLoadReporter(
-    () => routing.homeTargets(),
+    (resting) => routing.homeTargets(resting),
     settings.targets.reportMs,
     now,
     agents.loads,
   )
   const cacheEvents = createCacheEventReader({
-    targets: () => routing.homeTargets(),
+    targets: (resting) => routing.homeTargets(resting),
     everyMs: settings.targets.reportMs,
     maxChats: settings.routing.indexedChats,
     keyOf: chatKey,
--- /dev/null
+++ b/packages/daemon/src/node/routing/chooseGroups.ts
@@ -0,0 +1,31 @@
+import type { TargetGroup } from '@auburnbay/core'
+import type { FleetLoad } from './createFleetLoad.js'
+import type { GroupedTarget, ServiceTable } from './createServiceTables.js'
+
+/** What the choice of groups goes by. */
+export interface GroupChoice {
+  readonly table: ServiceTable
+  readonly load: FleetLoad
+  readonly key: string
+  /** Target that holds the chat already. */
+  readonly hint: GroupedTarget | undefined
+  readonly maxLoadFactor: number
+  readonly eligible: (targetId: string) => boolean
+}
+
+/** Groups that a request tries before it waits. */
+const MAX_GROUPS = 3
+
+/** Lists the groups that a request tries: that of its holder, then those with room. */
+export function chooseGroups(choice: GroupChoice): TargetGroup[] {
+  const { table, load, key, hint, maxLoadFactor, eligible } = choice
+  if (table.groups.length === 1) return [...table.groups]
+  const mean = load.mean(table, eligible)
+  const chosen: TargetGroup[] = hint ? [hint.group] : []
+  for (const group of table.ring.groupsOf(key)) {
+    if (chosen.length >= MAX_GROUPS) break
+    if (chosen.includes(group)) continue
+    if (load.hasRoom(group, mean, maxLoadFactor)) chosen.push(group)
+  }
+  return chosen
+}
--- a/packages/daemon/src/node/routing/createGroupTask.ts
+++ b/packages/daemon/src/node/routing/createGroupTask.ts
@@ -50,6 +50,8 @@
   readonly group: TargetGroup
   /** Whether this router grants places on the group now. */
   readonly granting: boolean
+  /** When a place on the group was last asked for here, on the monotonic clock. */
+  readonly askedAtMs: number
   place(want: PlaceWant): Promise<Placed>
   /** Counts a request that is already in flight. */
   adopt(index: number): void
@@ -71,6 +73,7 @@
   const home = createGroupHome({ group, router })
   const waiting = new Map<number, (placed: Placed) => void>()
   let lastRequest = 0
+  let askedAtMs = -Infinity
 
   function eligible(index: number): boolean {
     const id = group.members[index]?.id
@@ -110,8 +113,10 @@
     return { ...ask, wants }
   }
 
-  const answerAsk = (ask: GrantAsk): GrantReply =>
-    home.ask(withHints(ask), ledgerView())
+  function answerAsk(ask: GrantAsk): GrantReply {
+    if (ask.wants.length > 0) askedAtMs = now()
+    return home.ask(withHints(ask), ledgerView())
+  }
 
   function send(): void {
     const ask = placer.nextAsk(placerView())
@@ -169,6 +174,9 @@
     get granting() {
       return home.granting
     },
+    get askedAtMs() {
+      return askedAtMs
+    },
     place(want) {
       lastRequest += 1
       const requestId = lastRequest
--- a/packages/daemon/src/node/routing/createRouting.ts
+++ b/packages/daemon/src/node/routing/createRouting.ts
@@ -17,6 +17,7 @@
 import type { LoadReporter } from '../targets/createLoadReporter.js'
 import { createLoop } from '../tasks/createLoop.js'
 import { chatKey } from './chatKey.js'
+import { chooseGroups } from './chooseGroups.js'
 import { createExplain } from './createExplain.js'
 import { createFleetLoad } from './createFleetLoad.js'
 import { createFleetView } from './createFleetView.js'
@@ -26,8 +27,8 @@
 import {
   createServiceTables,
   type GroupedTarget,
-  type ServiceTable,
 } from './createServiceTables.js'
+import { createUpdatePace } from './createUpdatePace.js'
 import { createWant } from './createWant.js'
 import { createStatus } from './createStatus.js'
 import { homeTargets } from './homeTargets.js'
@@ -51,9 +52,9 @@
 }
 
 const RETRY_AFTER_S = 1
-/** Groups that a request tries before it waits. */
-const MAX_GROUPS = 3
 const UPDATE_MS = 100
+/** Rounds of reports that a group still gets after its last request has ended. */
+const REPORTS_AFTER_USE = 3
 
 /** Creates routing by grants of each group's home router. */
 export function createRouting(options: RoutingOptions): HomeRouting {
@@ -78,6 +79,13 @@
   const eligible = (id: string): boolean =>
     view.listed(id) && options.eligible(id, true)
 
+  /** A group without requests has no load to report and no new cache events. */
+  function inUse(group: TargetGroup): boolean {
+    const idleMs = now() - tasks.of(group).askedAtMs
+    if (idleMs <= REPORTS_AFTER_USE * settings.targets.reportMs) return true
+    return group.members.some(({ id }) => load.of(id) > 0)
+  }
+
   function addressOf(peer: string): string | undefined {
     return membership()
       .livePeers()
@@ -139,6 +147,14 @@
     if (now() - refreshedAtMs >= settings.peers.heartbeatMs) refresh()
   }
 
+  const everyMs = Math.min(UPDATE_MS, settings.peers.heartbeatMs)
+  const pace = createUpdatePace({
+    update,
+    inUse: () => tables.all().some((table) => table.groups.some(inUse)),
+    everyMs,
+    now,
+  })
+
   function hold(
     request: RoutedRequest,
     target: GroupedTarget,
@@ -168,30 +184,15 @@
     }
   }
 
-  function groupsFor(
-    table: ServiceTable,
-    key: string,
-    hint?: GroupedTarget,
-  ): TargetGroup[] {
-    if (table.groups.length === 1) return [...table.groups]
-    const mean = load.mean(table, eligible)
-    const factor = maxLoadFactor(table.service)
-    const first: TargetGroup[] = hint ? [hint.group] : []
-    for (const group of table.ring.groupsOf(key)) {
-      if (first.length >= MAX_GROUPS) break
-      if (first.includes(group) || !load.hasRoom(group, mean, factor)) continue
-      first.push(group)
-    }
-    return first
-  }
-
   async function place(request: RoutedRequest, excluded: ReadonlySet<string>) {
     const table = tables.tableOf(request.service)
-    if (view.routers().length === 0 || refreshedAtMs === -Infinity) update()
+    pace.whenOld()
     const key = chatKey(request.chat === '' ? request.id : request.chat)
     const hinted = findHint(settings.secrets.hint, request)
     const hint = hinted === undefined ? undefined : table?.targets.get(hinted)
-    for (const group of table ? groupsFor(table, key, hint) : []) {
+    const factor = maxLoadFactor(request.service)
+    const choice = { load, key, hint, maxLoadFactor: factor, eligible }
+    for (const group of table ? chooseGroups({ table, ...choice }) : []) {
       const barred = (id: string): boolean =>
         excluded.has(id) || !options.eligible(id, request.idempotent)
       const want = createWant(group, key, hint, barred)
@@ -217,10 +218,10 @@
 
   const loop = createLoop(
     () => {
-      update()
+      pace.inTurn()
       return Promise.resolve()
     },
-    Math.min(UPDATE_MS, settings.peers.heartbeatMs),
+    everyMs,
     () => undefined,
   )
 
@@ -229,9 +230,19 @@
     status: createStatus({ tables, load, eligible, maxLoadFactor }),
     explain,
     ownInFlight: () => inFlight.all(),
-    onGrant: (ask) => tasks.onGrant(ask),
+    onGrant: (ask) => {
+      pace.whenOld()
+      return tasks.onGrant(ask)
+    },
     onCollect: (ask) => tasks.onCollect(ask),
-    homeTargets: () => homeTargets(configuration, tables, view, router),
+    homeTargets: (resting) =>
+      homeTargets(
+        configuration,
+        tables,
+        view,
+        router,
+        (group) => resting || inUse(group),
+      ),
     stop: () => loop.stop(),
   }
 }
--- a/packages/daemon/src/node/routing/homeTargets.ts
+++ b/packages/daemon/src/node/routing/homeTargets.ts
@@ -1,4 +1,8 @@
-import { type Configuration, ServiceKind } from '@auburnbay/core'
+import {
+  type Configuration,
+  ServiceKind,
+  type TargetGroup,
+} from '@auburnbay/core'
 import type { FleetView } from './createFleetView.js'
 import type { GroupedTarget, ServiceTables } from './createServiceTables.js'
 
@@ -8,13 +12,16 @@
   tables: ServiceTables,
   view: FleetView,
   router: string,
+  polled: (group: TargetGroup) => boolean,
 ): GroupedTarget[] {
   const { services } = configuration()
   const found: GroupedTarget[] = []
   for (const { service, targets } of tables.all()) {
     if (services[service]?.kind !== ServiceKind.Model) continue
-    for (const target of targets.values())
-      if (view.homeOf(target.group.id) === router) found.push(target)
+    for (const target of targets.values()) {
+      if (view.homeOf(target.group.id) !== router) continue
+      if (polled(target.group)) found.push(target)
+    }
   }
   return found
 }
--- a/packages/daemon/src/node/routing/routing.ts
+++ b/packages/daemon/src/node/routing/routing.ts
@@ -47,7 +47,7 @@
 export interface HomeRouting extends Routing {
   onGrant(ask: GrantAsk): GrantReply
   onCollect(ask: CollectAsk): CollectReply
-  /** Targets of the groups that this router is the home of. */
-  homeTargets(): readonly TargetAddress[]
+  /** Engines of the groups that this router is the home of; `resting` adds those of groups out of use. */
+  homeTargets(resting: boolean): readonly TargetAddress[]
   stop(): Promise<void>
 }
--- a/packages/daemon/src/node/targets/createCacheEventReader.ts
+++ b/packages/daemon/src/node/targets/createCacheEventReader.ts
@@ -7,7 +7,7 @@
 import { requestJson } from '@auburnbay/http-utils'
 import { z } from 'zod'
 import { LOAD_REPORT_TIMEOUT_MS } from '../constants.js'
-import { createLoop } from '../tasks/createLoop.js'
+import { createTargetPoller, type PolledTargets } from './createTargetPoller.js'
 import type { TargetAddress } from './targetClient.js'
 
 /** Knows from cache events which target holds a chat. */
@@ -19,7 +19,7 @@
 
 /** What a reader of cache events works with. */
 export interface CacheEventReaderOptions {
-  readonly targets: () => readonly TargetAddress[]
+  readonly targets: PolledTargets
   /** Milliseconds between two polls. */
   readonly everyMs: number
   readonly maxChats: number
@@ -55,17 +55,11 @@
     if (parsed.success) index.apply(target.id, parsed.data.events.map(keyed))
   }
 
-  const loop = createLoop(
-    async () => {
-      await Promise.all(targets().map(poll))
-    },
-    everyMs,
-    () => undefined,
-  )
+  const polling = createTargetPoller({ targets, everyMs, poll })
   return {
     targetOf: (key) => index.targetOf(key),
     stop: async () => {
-      await loop.stop()
+      await polling.stop()
       agent.destroy()
     },
   }
--- a/packages/daemon/src/node/targets/createLoadReporter.ts
+++ b/packages/daemon/src/node/targets/createLoadReporter.ts
@@ -2,7 +2,7 @@
 import { requestJson } from '@auburnbay/http-utils'
 import { z } from 'zod'
 import { LOAD_REPORT_TIMEOUT_MS } from '../constants.js'
-import { createLoop } from '../tasks/createLoop.js'
+import { createTargetPoller, type PolledTargets } from './createTargetPoller.js'
 import type { TargetAddress } from './targetClient.js'
 
 /** What a target said of its load. */
@@ -22,7 +22,7 @@
 
 /** Starts polling the load of the targets that `targets` names. */
 export function createLoadReporter(
-  targets: () => readonly TargetAddress[],
+  targets: PolledTargets,
   everyMs: number,
   now: () => number,
   agent: Agent = new Agent({ keepAlive: true }),
@@ -41,17 +41,11 @@
     reports.set(target.id, { inFlight: parsed.data.inFlight, atMs: now() })
   }
 
-  const loop = createLoop(
-    async () => {
-      await Promise.all(targets().map(poll))
-    },
-    everyMs,
-    () => undefined,
-  )
+  const polling = createTargetPoller({ targets, everyMs, poll })
   return {
     report: (targetId) => reports.get(targetId),
     stop: async () => {
-      await loop.stop()
+      await polling.stop()
       agent.destroy()
     },
   }
--- a/packages/measure/src/node/control/constants.ts
+++ b/packages/measure/src/node/control/constants.ts
@@ -12,7 +12,11 @@
 export const ENGINES = 13
 /** Entry VMs of a deployment today. */
 export const ROUTERS = 9
-/** Milliseconds of one window of observation. */
+/** Milliseconds until a router that gets no request no longer asks for loads. */
+export const IDLE_AFTER_MS = 7_000
+/** Milliseconds over which an idle router is observed: 600 ticks of its accounting. */
+export const IDLE_WINDOW_MS = 6_000
+/** Milliseconds of the window of observation under load. */
 export const WINDOW_MS = 2_000
 /** Milliseconds for a change of the fleet to settle. */
 export const SETTLE_MS = 1_500
--- a/packages/measure/src/node/control/measureControlWork.ts
+++ b/packages/measure/src/node/control/measureControlWork.ts
@@ -6,6 +6,8 @@
 import {
   CONTROL_BYTES_PER_S,
   CONTROL_CORE_SHARE,
+  IDLE_AFTER_MS,
+  IDLE_WINDOW_MS,
   REQUESTS_PER_ROUTER,
   ROUTERS,
   SETTLE_MS,
@@ -27,17 +29,24 @@
   readonly residentBytes: number
 }
 
+/** What is observed, and for how long. */
+interface Observation {
+  readonly pid: number
+  readonly settleMs: number
+  readonly windowMs: number
+  readonly during: () => Promise<unknown>
+}
+
 async function observe(
   stats: StatsReader,
-  pid: number,
-  during: () => Promise<unknown>,
+  { pid, settleMs, windowMs, during }: Observation,
 ): Promise<Window> {
-  await sleep(SETTLE_MS)
+  await sleep(settleMs)
   const usage = processUsage(pid)
   const before = stats.controlBytes()
   await during()
   const after = stats.controlBytes()
-  const seconds = WINDOW_MS / MS_PER_S
+  const seconds = windowMs / MS_PER_S
   const bytes: Record<string, number> = {}
   let totalBytes = 0
   for (const [purpose, count] of Object.entries(after)) {
@@ -117,9 +126,20 @@
   fleet: ControlFleet,
   stats: StatsReader,
 ): Promise<Figure[]> {
-  const pid = fleet.routers[0]?.child.pid ?? 0
-  const rest = (): Promise<unknown> => sleep(WINDOW_MS)
-  const idle = await observe(stats, pid, rest)
-  const loaded = await observe(stats, pid, () => sendAtRate(fleet))
+  const [first] = fleet.routers
+  // The first one reports metrics a hundred times as often as by default.
+  const last = fleet.routers.at(-1)
+  const idle = await observe(stats, {
+    pid: last?.child.pid ?? 0,
+    settleMs: IDLE_AFTER_MS,
+    windowMs: IDLE_WINDOW_MS,
+    during: () => sleep(IDLE_WINDOW_MS),
+  })
+  const loaded = await observe(stats, {
+    pid: first?.child.pid ?? 0,
+    settleMs: SETTLE_MS,
+    windowMs: WINDOW_MS,
+    during: () => sendAtRate(fleet),
+  })
   return toFigures(idle, loaded, fleet.routers.length - 1)
 }
