Find peers also where every answer to the entry is lost

A router whose append is made but never answered repeated it for ever and never read the list of routers. Ruled out: the listing itself, which was answered. Change: the list is read in any case, and an own entry in it counts as made.

--- a/packages/router/src/node/peers/joinDirectory.ts
+++ b/packages/router/src/node/peers/joinDirectory.ts
@@ -11,6 +11,10 @@
   readonly onListed: (router: string, address: PeerAddress) => void
 }
 
+function isSame(one: PeerAddress | undefined, other: PeerAddress): boolean {
+  return one?.host === other.host && one.port === other.port
+}
+
 /** Enters a router in the list of routers, then reads the list now and then. */
 export function joinDirectory(options: JoinDirectoryOptions): {
   leave(): void
@@ -24,13 +28,15 @@
   }
 
   async function run(): Promise<void> {
-    while (!signal.aborted && !(await directory.enter(router, address)))
-      await pause(DIRECTORY_RETRY_MS)
+    let isEntered = false
     while (!signal.aborted) {
+      isEntered ||= await directory.enter(router, address)
       const listed = await directory.list()
+      // The answer to the entry may have been lost.
+      isEntered ||= isSame(listed?.get(router), address)
       for (const [name, peer] of listed ?? [])
         if (name !== router) onListed(name, peer)
-      await pause(listed ? DIRECTORY_READ_MS : DIRECTORY_RETRY_MS)
+      await pause(isEntered && listed ? DIRECTORY_READ_MS : DIRECTORY_RETRY_MS)
     }
   }
 
