Tell peers only of targets with work, and sum what they told once

A profile of two of 60 routers: more than half of a router's JavaScript is garbage collection, the rest mostly digests (80 in, 80 out a second, each with two numbers for all 67 targets) and sums over 59 peers for each of 63 targets at every request. Ruled out: the answers themselves (under a tenth). Change: a digest names targets with work only; sums over peers are kept and changed by what a digest changes; a datagram's address is not looked up.

--- a/packages/router/src/node/peers/createDigestSocket.ts
+++ b/packages/router/src/node/peers/createDigestSocket.ts
@@ -1,4 +1,4 @@
-import { createSocket } from 'node:dgram'
+import { createSocket, type SocketOptions } from 'node:dgram'
 import type { PeerAddress } from './peerAddress.js'
 import { decodeDigest, encodeDigest, type PeerDigest } from './peerDigest.js'
 
@@ -8,13 +8,20 @@
   close(): void
 }
 
+/** Family of the addresses, as the system's lookup names it. */
+const IPV4 = 4
+
 /** Opens a socket; rejects when the address is in use. */
 export function createDigestSocket(
   address: PeerAddress,
   onDigest: (digest: PeerDigest, host: string) => void,
   onError: (error: Error) => void,
 ): Promise<DigestSocket> {
-  const socket = createSocket('udp4')
+  // Peers are known by numeric addresses: there is nothing to look up.
+  const lookup: SocketOptions['lookup'] = (host, _options, done) => {
+    done(null, host, IPV4)
+  }
+  const socket = createSocket({ type: 'udp4', lookup })
   socket.on('message', (datagram, { address: host }) => {
     const digest = decodeDigest(datagram)
     if (digest) onDigest(digest, host)
--- a/packages/router/src/node/peers/digestWork.ts
+++ b/packages/router/src/node/peers/digestWork.ts
@@ -1,16 +1,14 @@
 import type { Placement } from '../routing/createPlacements.js'
-import {
-  NO_WORK,
-  type TargetWork,
-  type WorkByTarget,
-} from '../routing/targetWork.js'
+import type { TargetWork, WorkByTarget } from '../routing/targetWork.js'
 import type { PeerDigest } from './peerDigest.js'
 
 /** The part of a digest that names targets by their place in the list of ids. */
-export type DigestWork = Pick<PeerDigest, 'inFlight' | 'unread' | 'placed'>
+export type DigestWork = Pick<PeerDigest, 'work' | 'placed'>
 
 /** Tokens in one unit of a digest. */
 const TOKEN_UNIT = 100
+/** Numbers that a digest has for each target with work. */
+const NUMBERS_A_TARGET = 3
 
 /** Writes work and placements; those of targets that are not listed are left out. */
 export function encodeWork(
@@ -19,29 +17,34 @@
   placements: readonly Placement[],
 ): DigestWork {
   const places = new Map(ids.map((id, place) => [id, place]))
+  const told: number[] = []
+  for (const [id, { requests, unreadTokens }] of work) {
+    const place = places.get(id)
+    if (place === undefined) continue
+    told.push(place, requests, Math.round(unreadTokens / TOKEN_UNIT))
+  }
   const placed: [string, number][] = []
   for (const [key, id] of placements) {
     const place = places.get(id)
     if (place !== undefined) placed.push([key, place])
   }
-  const listed = ids.map((id) => work.get(id) ?? NO_WORK)
-  return {
-    inFlight: listed.map(({ requests }) => requests),
-    unread: listed.map((own) => Math.round(own.unreadTokens / TOKEN_UNIT)),
-    placed,
-  }
+  return { work: told, placed }
 }
 
 /** Reads the work that a digest tells. */
 export function decodeWork(
   ids: readonly string[],
-  { inFlight, unread }: DigestWork,
+  { work: told }: DigestWork,
 ): WorkByTarget {
   const work = new Map<string, TargetWork>()
-  for (const [place, id] of ids.entries()) {
-    const requests = inFlight[place] ?? 0
-    const unreadTokens = (unread[place] ?? 0) * TOKEN_UNIT
-    work.set(id, { requests, unreadTokens })
+  for (let at = 0; at < told.length; at += NUMBERS_A_TARGET) {
+    const [place = -1, requests = 0, units = 0] = told.slice(
+      at,
+      at + NUMBERS_A_TARGET,
+    )
+    const id = ids[place]
+    if (id === undefined) continue
+    work.set(id, { requests, unreadTokens: units * TOKEN_UNIT })
   }
   return work
 }
--- a/packages/router/src/node/peers/peerDigest.ts
+++ b/packages/router/src/node/peers/peerDigest.ts
@@ -17,10 +17,8 @@
   /** Milliseconds up to which the router surely has all changes of the list. */
   targetsAgeMs: v.nullable(v.number()),
   stopping: v.boolean(),
-  /** Requests in flight at each target of the list, in the order of ids. */
-  inFlight: v.array(v.number()),
-  /** Prompt tokens that each of them has to read, in hundreds. */
-  unread: v.array(v.number()),
+  /** For each target with work: its place in the list of ids, requests in flight, prompt tokens to read in hundreds. */
+  work: v.array(v.number()),
   /** Prompts since the last digest and the places in the list of their targets. */
   placed: v.array(v.pipe(v.tuple([v.string(), v.number()]), v.readonly())),
 })
--- a/packages/router/src/node/routing/createFleetLoad.ts
+++ b/packages/router/src/node/routing/createFleetLoad.ts
@@ -27,44 +27,66 @@
 export function createFleetLoad(staleMs: () => number): FleetLoad {
   const own = new Map<string, TargetWork>()
   const peers = new Map<string, PeerWork>()
+  // Sums over the peers, so that a look at a target need not ask each of them.
+  const told = new Map<string, TargetWork>()
+  let checkedAtMs = -Infinity
 
-  function add(targetId: string, requests: number, tokens: number): void {
-    const work = own.get(targetId) ?? NO_WORK
+  function addTo(
+    sums: Map<string, TargetWork>,
+    targetId: string,
+    requests: number,
+    tokens: number,
+  ): void {
+    const work = sums.get(targetId) ?? NO_WORK
     const sum = {
       requests: work.requests + requests,
       unreadTokens: work.unreadTokens + tokens,
     }
-    if (sum.requests > 0) own.set(targetId, sum)
-    else own.delete(targetId)
+    if (sum.requests > 0) sums.set(targetId, sum)
+    else sums.delete(targetId)
+  }
+
+  function forget(router: string): void {
+    const last = peers.get(router)
+    if (!last) return
+    peers.delete(router)
+    for (const [id, { requests, unreadTokens }] of last.work)
+      addTo(told, id, -requests, -unreadTokens)
+  }
+
+  function dropStale(nowMs: number): void {
+    if (nowMs <= checkedAtMs) return
+    checkedAtMs = nowMs
+    const limitMs = staleMs()
+    for (const [router, { heardAtMs }] of peers)
+      if (nowMs - heardAtMs > limitMs) forget(router)
   }
 
   return {
     started(targetId, unreadTokens) {
-      add(targetId, 1, unreadTokens)
+      addTo(own, targetId, 1, unreadTokens)
     },
     read(targetId, tokens) {
-      add(targetId, 0, -tokens)
+      addTo(own, targetId, 0, -tokens)
     },
     ended(targetId) {
-      add(targetId, -1, 0)
+      addTo(own, targetId, -1, 0)
     },
     own: () => own,
     heard(router, work, nowMs) {
+      forget(router)
       peers.set(router, { work, heardAtMs: nowMs })
+      for (const [id, { requests, unreadTokens }] of work)
+        addTo(told, id, requests, unreadTokens)
     },
     total(targetId, nowMs) {
-      const limitMs = staleMs()
-      let { requests, unreadTokens } = own.get(targetId) ?? NO_WORK
-      for (const [router, { work, heardAtMs }] of peers) {
-        if (nowMs - heardAtMs > limitMs) {
-          peers.delete(router)
-          continue
-        }
-        const told = work.get(targetId) ?? NO_WORK
-        requests += told.requests
-        unreadTokens += told.unreadTokens
+      dropStale(nowMs)
+      const mine = own.get(targetId) ?? NO_WORK
+      const theirs = told.get(targetId) ?? NO_WORK
+      return {
+        requests: mine.requests + theirs.requests,
+        unreadTokens: mine.unreadTokens + theirs.unreadTokens,
       }
-      return { requests, unreadTokens }
     },
   }
 }
