Lend peers only what they lack, compressed

Cause: on the grown Asociacion site (66 routers, 250 routes, links from 7 Mbit/s) a router handled requests by version 25 four seconds after version 29 was acknowledged, and one sent to a leaving target too late. Ruled out: the digest that tells of the version; it was heard, and the asking failed. Change: targets and prompts are left out where the asker has them; the rest is compressed.

--- a/packages/router/src/node/peers/createPeers.ts
+++ b/packages/router/src/node/peers/createPeers.ts
@@ -108,13 +108,14 @@
 
   const server = await createPeerStateServer(
     settings.listen.peers,
-    (knownVersion) => {
+    ({ knownVersion, targetsFingerprint, wantsPlacements }) => {
       const configuration = knowledge.configurationSince(knownVersion)
+      const hasTargets = targetsFingerprint === knowledge.targetsFingerprint()
       return {
         ...(configuration && { configuration }),
-        targets: knowledge.targets(),
+        ...(!hasTargets && { targets: knowledge.targets() }),
         targetsAgeMs: finiteOrNull(knowledge.targetsAgeMs()),
-        placements: placements.all(),
+        ...(wantsPlacements && { placements: placements.all() }),
       }
     },
   )
--- a/packages/router/src/node/peers/createStateBorrower.ts
+++ b/packages/router/src/node/peers/createStateBorrower.ts
@@ -1,9 +1,9 @@
-import { requestJson } from '@auburnbay/http-utils/requestJson'
+import { requestBytes } from '@auburnbay/http-utils/requestBytes'
 import type { DecisionLog } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
 import type { Placement } from '../routing/createPlacements.js'
 import type { Peer } from './createPeerTable.js'
-import { STATE_PATH } from './createPeerStateServer.js'
+import { statePath } from './createPeerStateServer.js'
 import { decodePeerState } from './peerState.js'
 import type { RouterKnowledge } from './routerKnowledge.js'
 
@@ -57,10 +57,14 @@
 
   async function ask({ router, address }: Peer): Promise<void> {
     const { host, port } = address
-    const known = knowledge.configurationVersion()
+    const path = statePath({
+      knownVersion: knowledge.configurationVersion(),
+      ...(hasAsked && { targetsFingerprint: knowledge.targetsFingerprint() }),
+      wantsPlacements: !hasAsked,
+    })
     const askedAtMs = now()
-    const reply = await requestJson({
-      url: `http://${host}:${port}${STATE_PATH}?known=${known}`,
+    const reply = await requestBytes({
+      url: `http://${host}:${port}${path}`,
       method: 'GET',
       timeoutMs: ANSWER_TIMEOUT_MS,
     })
@@ -72,9 +76,10 @@
     hasAsked = true
     const { configuration, placements, targets, targetsAgeMs } = state
     if (configuration) knowledge.takeConfiguration(configuration, router)
-    onPlacements(placements)
+    if (placements) onPlacements(placements)
     const ageMs = (targetsAgeMs ?? Infinity) + now() - askedAtMs
-    if (ageMs < knowledge.targetsAgeMs()) knowledge.takeTargets(targets, ageMs)
+    if (ageMs >= knowledge.targetsAgeMs()) return
+    if (targets) knowledge.takeTargets(targets, ageMs)
   }
 
   return {
--- a/packages/router/src/node/peers/peerState.ts
+++ b/packages/router/src/node/peers/peerState.ts
@@ -1,9 +1,13 @@
+import { constants, gunzipSync, gzipSync } from 'node:zlib'
 import * as v from 'valibot'
 import { RequestKind } from '../configuration/requestKind.js'
 import type { RouterConfiguration } from '../configuration/routerConfiguration.js'
 import type { Placement } from '../routing/createPlacements.js'
 import type { Target } from '../targets/target.js'
 
+/** Bytes of a state once inflated; a router's whole memory is a few times as much. */
+const MAX_STATE_BYTES = 16 * 1024 * 1024
+
 const routeSchema = v.object({
   name: v.string(),
   host: v.string(),
@@ -59,23 +63,42 @@
 
 const stateSchema = v.object({
   configuration: v.exactOptional(configurationSchema),
-  targets: v.array(targetSchema),
-  /** Milliseconds since the router read the list of targets itself; null before the first time. */
+  targets: v.exactOptional(v.array(targetSchema)),
   targetsAgeMs: v.nullable(v.number()),
-  placements: v.array(v.tuple([v.string(), v.string()])),
+  placements: v.exactOptional(v.array(v.tuple([v.string(), v.string()]))),
 })
 
-/** What a router lends to a peer that cannot read its sources. */
+/** What a router that asks for a peer's state has already. */
+export interface PeerStateQuery {
+  readonly knownVersion: number
+  /** Fingerprint of the asker's list of targets, where it knows one. */
+  readonly targetsFingerprint?: number
+  /** Whether the asker needs to learn where prompts are cached. */
+  readonly wantsPlacements: boolean
+}
+
+/** What a router lends to a peer; what the peer has already is left out. */
 export interface PeerState {
   readonly configuration?: RouterConfiguration
-  readonly targets: readonly Target[]
+  readonly targets?: readonly Target[]
+  /** Milliseconds up to which the lender surely has all changes of the list; null before the first time. */
   readonly targetsAgeMs: number | null
   /** Where prompts are cached. */
-  readonly placements: readonly Placement[]
+  readonly placements?: readonly Placement[]
+}
+
+/** Writes a state; many routers may fetch it at once over narrow links. */
+export function encodePeerState(state: PeerState): Buffer {
+  return gzipSync(JSON.stringify(state), { level: constants.Z_BEST_SPEED })
 }
 
 /** Reads a peer's answer; undefined where it is none. */
-export function decodePeerState(body: unknown): PeerState | undefined {
-  const parsed = v.safeParse(stateSchema, body)
-  return parsed.success ? parsed.output : undefined
+export function decodePeerState(answer: Buffer): PeerState | undefined {
+  try {
+    const text = gunzipSync(answer, { maxOutputLength: MAX_STATE_BYTES })
+    const parsed = v.safeParse(stateSchema, JSON.parse(text.toString()))
+    return parsed.success ? parsed.output : undefined
+  } catch {
+    return undefined
+  }
 }
