Give up a call when its answer stands still, not when it is long

Change: the time-out of a small call runs until the answer begins and between two pieces of it; a whole call takes five of them at most.

--- a/packages/http-utils/src/node/requestBytes.ts
+++ b/packages/http-utils/src/node/requestBytes.ts
@@ -9,7 +9,7 @@
   readonly url: string
   readonly body?: Buffer
   readonly headers?: OutgoingHttpHeaders
-  /** Milliseconds until the call is given up. */
+  /** Milliseconds until the answer begins, and between two pieces of it. */
   readonly timeoutMs: number
   readonly agent?: Agent
 }
@@ -27,19 +27,36 @@
 }
 
 const MAX_REPLY_BYTES = 64 * 1024 * 1024
+/** A whole call takes this many time-outs at most, however steadily bytes come. */
+const MAX_TIMEOUTS = 5
 
 /** Sends a request and reads the whole answer. */
 export function requestBytes(
   call: BytesCall,
 ): Promise<Result<BytesReply, CallError>> {
   return new Promise((resolve) => {
+    const givenUp = new AbortController()
+    const giveUp = (): void => {
+      givenUp.abort()
+    }
+    let idle = setTimeout(giveUp, call.timeoutMs)
+    const heard = (): void => {
+      clearTimeout(idle)
+      idle = setTimeout(giveUp, call.timeoutMs)
+    }
+    const whole = setTimeout(giveUp, MAX_TIMEOUTS * call.timeoutMs)
+    const end = (result: Result<BytesReply, CallError>): void => {
+      clearTimeout(idle)
+      clearTimeout(whole)
+      resolve(result)
+    }
     const fail = (message: string): void => {
-      resolve(err({ message: `${call.method} ${call.url}: ${message}` }))
+      end(err({ message: `${call.method} ${call.url}: ${message}` }))
     }
     const req = requestUrl(call.url, {
       method: call.method,
       agent: call.agent,
-      signal: AbortSignal.timeout(call.timeoutMs),
+      signal: givenUp.signal,
       headers: {
         ...(call.body && { 'content-length': call.body.length }),
         ...call.headers,
@@ -49,14 +66,17 @@
       fail(error.message)
     })
     req.on('response', (res) => {
+      heard()
       void readBody(res, MAX_REPLY_BYTES).then((body) => {
         if (body.isErr()) {
           fail(`the answer was cut off (${body.error})`)
           return
         }
         const { statusCode: status = 0, headers } = res
-        resolve(ok({ status, headers, body: body.value }))
+        end(ok({ status, headers, body: body.value }))
       })
+      // The body is being read already; this only looks on.
+      res.on('data', heard)
     })
     req.end(call.body)
   })
