Tell every peer of a placement, also where a digest goes to a few

Cause: a placement was told in one digest only, and with more than 16 peers one digest reaches 16 of them: of 59 peers 43 never heard of it and read the prompt at another target. Change: placements stay in as many digests as it takes to reach all peers.

--- a/packages/router/src/node/peers/createPeers.ts
+++ b/packages/router/src/node/peers/createPeers.ts
@@ -6,6 +6,7 @@
 import type { Placements } from '../routing/createPlacements.js'
 import type { RouterSettings } from '../settings/settingsSchema.js'
 import { createDigestSocket } from './createDigestSocket.js'
+import { createNewsBatches } from './createNewsBatches.js'
 import { createPeerStateServer } from './createPeerStateServer.js'
 import { createPeerTable, type Peer } from './createPeerTable.js'
 import { createStateBorrower } from './createStateBorrower.js'
@@ -70,6 +71,12 @@
     now,
   })
 
+  const news = createNewsBatches(() => placements.takeNews())
+
+  /** Digests until every peer has got one. */
+  const tellings = (): number =>
+    Math.ceil(table.live(now()).length / constants.MAX_TOLD)
+
   function digest(): PeerDigest {
     sequence += 1
     return {
@@ -83,7 +90,7 @@
       targetsReadMs: finiteOrNull(knowledge.targetsReadMs()),
       targetsAgeMs: finiteOrNull(knowledge.targetsAgeMs()),
       stopping: options.isStopping(),
-      ...encodeWork(knowledge.targetIds(), load.own(), placements.takeNews()),
+      ...encodeWork(knowledge.targetIds(), load.own(), news.next(tellings())),
     }
   }
 
