Derive how long a peer's reading counts from the bounds

Cause: the trust in a peer's reading was a second in the code, half of the 2 s that one pair of sites allows; the grown ones allow 3 s, and the setting configurationMs was read and used by nothing. On the grown sites 66 routers read the list of routers each 15 s, a quarter of all calls to the store. Ruled out: trusting longer everywhere; where 2 s are allowed nothing changes. Change: half of the smaller of the two bounds; the list of routers is read less often the more routers it has; a covered router looks each 250 ms, in place of each reading, whether it still is, so that it takes over sooner.

--- a/packages/router/src/node/constants.ts
+++ b/packages/router/src/node/constants.ts
@@ -14,14 +14,14 @@
 export const PEER_FORGET_MS = 60_000
 /** Milliseconds between two tries to enter the list of routers. */
 export const DIRECTORY_RETRY_MS = 500
-/** Milliseconds between two readings of the list of routers. */
+/** Milliseconds between two readings of the list of routers, for each 16 routers listed. */
 export const DIRECTORY_READ_MS = 15_000
 /** Milliseconds after an outage within which lost entries of targets come back. */
 export const REJOIN_MS = 2_200
 /** Outages shorter than this, in milliseconds, lose no entries of targets. */
 export const SHORT_OUTAGE_MS = 1_000
-/** Age of a peer's reading, in milliseconds, up to which this router need not read; half of the time in which changes must be in force. */
-export const READER_AGE_MS = 1_000
+/** Ages of a peer's reading up to which this router need not read that fit into the time in which a change must be in force. */
+export const READER_AGES_PER_BOUND = 2
 /** Readings of the list of targets within the time that a leaving one may still get work. */
 export const READINGS_PER_DRAIN = 4
 /** Milliseconds until a connection to a target must be open. */
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -124,6 +124,7 @@
   })
   peers.current = await createPeers({
     settings,
+    bounds: () => settings.bounds,
     incarnation,
     knowledge,
     load,
--- a/packages/router/src/node/peers/createPeers.ts
+++ b/packages/router/src/node/peers/createPeers.ts
@@ -19,6 +19,8 @@
 /** What the part for peers works with. */
 export interface PeersOptions {
   readonly settings: RouterSettings
+  /** The bounds as they are now. */
+  readonly bounds: () => RouterSettings['bounds']
   readonly incarnation: string
   readonly knowledge: RouterKnowledge
   readonly load: FleetLoad
@@ -135,9 +137,16 @@
     return (peer.digest?.targetsReadMs ?? Infinity) + now() - peer.heardAtMs
   }
 
+  /** Age of a peer's reading up to which this router need not read. */
+  function readerAgeMs(): number {
+    const { configurationMs, drainMs } = options.bounds()
+    const boundMs = Math.min(configurationMs, drainMs)
+    return boundMs / constants.READER_AGES_PER_BOUND
+  }
+
   function peersRead(ageOf: ReadingAge): boolean {
     const live = table.live(now())
-    return isCovered(router, live, ageOf, constants.READER_AGE_MS, now())
+    return isCovered(router, live, ageOf, readerAgeMs(), now())
   }
 
   const peersReadTargets = (): boolean =>
@@ -145,7 +154,7 @@
 
   /** Whether this router reads for its peers. */
   function isReader(): boolean {
-    if (knowledge.targetsReadMs() > constants.READER_AGE_MS) return false
+    if (knowledge.targetsReadMs() > readerAgeMs()) return false
     return !peersReadTargets()
   }
 
--- a/packages/router/src/node/peers/joinDirectory.ts
+++ b/packages/router/src/node/peers/joinDirectory.ts
@@ -1,5 +1,9 @@
 import { setTimeout as sleep } from 'node:timers/promises'
-import { DIRECTORY_READ_MS, DIRECTORY_RETRY_MS } from '../constants.js'
+import {
+  DIRECTORY_READ_MS,
+  DIRECTORY_RETRY_MS,
+  MAX_TOLD,
+} from '../constants.js'
 import type { RouterDirectory } from '../routerPorts.js'
 import type { PeerAddress } from './peerAddress.js'
 
@@ -15,6 +19,11 @@
   return one?.host === other.host && one.port === other.port
 }
 
+/** Keeps the calls of all routers within a few a second, however many they are. */
+function readAgainMs(routers: number): number {
+  return DIRECTORY_READ_MS * Math.max(1, routers / MAX_TOLD)
+}
+
 /** Enters a router in the list of routers, then reads the list now and then. */
 export function joinDirectory(options: JoinDirectoryOptions): {
   leave(): void
@@ -36,7 +45,9 @@
       isEntered ||= isSame(listed?.get(router), address)
       for (const [name, peer] of listed ?? [])
         if (name !== router) onListed(name, peer)
-      await pause(isEntered && listed ? DIRECTORY_READ_MS : DIRECTORY_RETRY_MS)
+      await pause(
+        isEntered && listed ? readAgainMs(listed.size) : DIRECTORY_RETRY_MS,
+      )
     }
   }
 
--- a/packages/router/src/node/sources/createSourceFollower.ts
+++ b/packages/router/src/node/sources/createSourceFollower.ts
@@ -2,7 +2,7 @@
 import type { KeyedSource, SourceEntry } from './keyedSource.js'
 import { SourceFault } from './sourceFault.js'
 
-/** Milliseconds between two tries while a source does not answer. */
+/** Milliseconds between two tries while a source does not answer, and between two looks at whether peers still read it. */
 const RETRY_MS = 250
 
 /** What a follower works with. */
@@ -89,7 +89,7 @@
 
   async function readOnce(): Promise<number> {
     if (end === undefined) return (await list()) ? options.pauseMs : RETRY_MS
-    if (options.isCovered?.()) return Math.max(options.pauseMs, RETRY_MS)
+    if (options.isCovered?.()) return RETRY_MS
     return (await readOn(end)) ? options.pauseMs : RETRY_MS
   }
 
