Take out fields that decide nothing, and the configuration's follower of createRouter

Change: the fields go; the data centre stands in the line of each start; followConfigurations stands beside followTargets.

--- a/packages/measure/src/node/placing/simulatePlacing.ts
+++ b/packages/measure/src/node/placing/simulatePlacing.ts
@@ -31,7 +31,6 @@
     service: 'service',
     host: '10.0.0.1',
     port: number,
-    dataCentre: 'dc',
     slots: 128,
     draining: false,
   }
--- a/packages/router/src/node/configuration/__tests__/testConfiguration.ts
+++ b/packages/router/src/node/configuration/__tests__/testConfiguration.ts
@@ -12,7 +12,6 @@
     services: [{ service: 'service', weight: 1 }],
     timeoutMs: 1_000,
     targetLatencyMs: 100,
-    targetGapMs: 100,
     priority: 1,
     maxAttempts: 2,
     anonymous: true,
@@ -33,8 +32,6 @@
     services: [
       {
         name: 'service',
-        connectionLimit: 100,
-        cacheTokens: 0,
         sharesCache: false,
       },
     ],
--- /dev/null
+++ b/packages/router/src/node/configuration/followConfigurations.ts
@@ -0,0 +1,50 @@
+import type { DecisionLog } from '../logging/decisionLog.js'
+import { LogEvent } from '../logging/logEvent.js'
+import {
+  createSourceFollower,
+  type SourceFollower,
+} from '../sources/createSourceFollower.js'
+import type { KeyedSource } from '../sources/keyedSource.js'
+import type { RouterConfiguration } from './routerConfiguration.js'
+
+/** What the follower of configurations works with. */
+export interface FollowConfigurationsOptions {
+  readonly source: KeyedSource<RouterConfiguration>
+  /** Whether a peer reads configurations for this router. */
+  readonly isCovered: () => boolean
+  /** Puts a configuration in force if it is newer. */
+  readonly offer: (configuration: RouterConfiguration, from: string) => void
+  /** Steady clock, in milliseconds. */
+  readonly now: () => number
+  readonly log: DecisionLog
+}
+
+/** Starts to follow the operator's configurations. */
+export function followConfigurations(
+  options: FollowConfigurationsOptions,
+): SourceFollower {
+  const { source, isCovered, offer, now, log } = options
+  return createSourceFollower({
+    source,
+    // A reading waits at the source until there is something new.
+    pauseMs: 0,
+    now,
+    isCovered,
+    onListing: (values) => {
+      for (const configuration of values.values())
+        offer(configuration, 'listing')
+    },
+    onEntry: ({ value }) => {
+      if (value) offer(value, 'log')
+    },
+    onLost: (fault) => {
+      log.write(LogEvent.SourceLost, { source: 'configurations', fault })
+    },
+    onRegained: (lostMs) => {
+      log.write(LogEvent.SourceRegained, {
+        source: 'configurations',
+        lostMs: Math.round(lostMs),
+      })
+    },
+  })
+}
--- a/packages/router/src/node/configuration/route.ts
+++ b/packages/router/src/node/configuration/route.ts
@@ -13,8 +13,6 @@
   readonly timeoutMs: number
   /** Milliseconds within which an answer, or a stream's first event, is due. */
   readonly targetLatencyMs: number
-  /** Longest pause between two events, in milliseconds. */
-  readonly targetGapMs: number
   /** 0 is the most urgent. */
   readonly priority: number
   /** Targets that may run one request. */
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -5,6 +5,7 @@
 import { createCallerServer } from './callers/createCallerServer.js'
 import { createDispatcher } from './callers/createDispatcher.js'
 import { createConfigurationKeeper } from './configuration/createConfigurationKeeper.js'
+import { followConfigurations } from './configuration/followConfigurations.js'
 import type { RouterConfiguration } from './configuration/routerConfiguration.js'
 import * as constants from './constants.js'
 import { createSilenceWatch } from './health/createSilenceWatch.js'
@@ -24,7 +25,6 @@
 import { createPlacer } from './routing/createPlacer.js'
 import type { RouterSettings } from './settings/settingsSchema.js'
 import { createPauseDetector } from './createPauseDetector.js'
-import { createSourceFollower } from './sources/createSourceFollower.js'
 import { createTargetClient } from './targets/createTargetClient.js'
 import { followTargets } from './targets/followTargets.js'
 import { createTargetView } from './targets/createTargetView.js'
@@ -81,27 +81,12 @@
     })
   }
 
-  const configurations = createSourceFollower({
+  const configurations = followConfigurations({
     source: ports.configurations,
-    pauseMs: 0,
-    now,
     isCovered: () => peers.current?.readConfigurations() ?? false,
-    onListing: (values) => {
-      for (const configuration of values.values())
-        offer(configuration, 'listing')
-    },
-    onEntry: ({ value }) => {
-      if (value) offer(value, 'log')
-    },
-    onLost: (fault) => {
-      log.write(LogEvent.SourceLost, { source: 'configurations', fault })
-    },
-    onRegained: (lostMs) => {
-      log.write(LogEvent.SourceRegained, {
-        source: 'configurations',
-        lostMs: Math.round(lostMs),
-      })
-    },
+    offer,
+    now,
+    log,
   })
   const targets = followTargets({
     source: ports.targets,
@@ -204,6 +189,7 @@
     ? await createMetricsServer(settings.listen.metrics, metrics)
     : undefined
   log.write(LogEvent.Started, {
+    dataCentre: settings.router.dataCentre,
     callers: formatAddress(callers.address),
     incarnation,
   })
--- a/packages/router/src/node/peers/__tests__/peerState.test.ts
+++ b/packages/router/src/node/peers/__tests__/peerState.test.ts
@@ -22,7 +22,6 @@
   services: [{ service: `service-${place % 3}`, weight: 1 }],
   timeoutMs: 4_000,
   targetLatencyMs: 336,
-  targetGapMs: 0,
   priority: place % 4,
   maxAttempts: 2,
   anonymous: false,
--- a/packages/router/src/node/peers/peerState.ts
+++ b/packages/router/src/node/peers/peerState.ts
@@ -16,7 +16,6 @@
   services: v.array(v.object({ service: v.string(), weight: v.number() })),
   timeoutMs: v.number(),
   targetLatencyMs: v.number(),
-  targetGapMs: v.number(),
   priority: v.number(),
   maxAttempts: v.number(),
   anonymous: v.boolean(),
@@ -30,8 +29,6 @@
   services: v.array(
     v.object({
       name: v.string(),
-      connectionLimit: v.number(),
-      cacheTokens: v.number(),
       sharesCache: v.boolean(),
     }),
   ),
@@ -56,7 +53,6 @@
   service: v.string(),
   host: v.string(),
   port: v.number(),
-  dataCentre: v.string(),
   slots: v.number(),
   draining: v.boolean(),
 })
--- a/packages/router/src/node/routing/__tests__/choosePlace.test.ts
+++ b/packages/router/src/node/routing/__tests__/choosePlace.test.ts
@@ -14,7 +14,6 @@
     service: 's',
     host: '10.0.0.1',
     port: i,
-    dataCentre: 'dc',
     slots,
     draining: false,
   }))
--- a/packages/router/src/node/targets/__tests__/createTargetView.test.ts
+++ b/packages/router/src/node/targets/__tests__/createTargetView.test.ts
@@ -12,7 +12,6 @@
     service: 's',
     host: '10.0.0.1',
     port: 1,
-    dataCentre: 'dc',
     slots: 4,
     draining: false,
     ...fields,
--- a/packages/router/src/node/targets/__tests__/followTargets.test.ts
+++ b/packages/router/src/node/targets/__tests__/followTargets.test.ts
@@ -9,7 +9,7 @@
 
 function target(id: string, draining = false): Target {
   const address = { host: '10.0.0.1', port: 1 }
-  return { id, service: 's', ...address, dataCentre: 'dc', slots: 4, draining }
+  return { id, service: 's', ...address, slots: 4, draining }
 }
 
 /** Follows a list whose changes a test writes, on a clock that it moves. */
--- a/packages/router/src/node/targets/target.ts
+++ b/packages/router/src/node/targets/target.ts
@@ -5,7 +5,6 @@
   readonly service: string
   readonly host: string
   readonly port: number
-  readonly dataCentre: string
   /** Requests that run at once. */
   readonly slots: number
   /** Whether it announced that it leaves. */
