Send digests as MessagePack without field names; play placing with 60 routers

The measure told all peers at once and could not see what 16 peers a digest do to placements. Ruled out: fewer peers a digest; counts would be staler. Change: fields in a fixed order as MessagePack (one declared library); the measure takes turns as routers do, and has a fleet of 60.

--- a/packages/measure/src/node/placing/measureDigests.ts
+++ b/packages/measure/src/node/placing/measureDigests.ts
@@ -46,7 +46,7 @@
   }
 }
 
-/** Bytes of digests today. */
+/** Bytes of digests, today and once the fleets have grown. */
 export function measureDigests(): Figure[] {
-  return [measureFleet(7, 16), measureFleet(9, 10)]
+  return [measureFleet(7, 16), measureFleet(9, 10), measureFleet(60, 67)]
 }
--- a/packages/measure/src/node/placing/placingTrace.ts
+++ b/packages/measure/src/node/placing/placingTrace.ts
@@ -15,7 +15,7 @@
   readonly requestMs: number
 }
 
-/** The long prompts of both deployments. */
+/** The long prompts of both deployments, and of the first one once it has grown. */
 export const placingTraces: readonly PlacingTrace[] = [
   {
     name: 'corrib',
@@ -39,4 +39,15 @@
     requestsPerS: 10,
     requestMs: 1_500,
   },
+  {
+    name: 'corrib-grown',
+    routers: 60,
+    targets: 63,
+    joining: 3,
+    leaving: 4,
+    prompts: 700,
+    promptTokens: 10_000,
+    requestsPerS: 150,
+    requestMs: 2_000,
+  },
 ]
--- a/packages/measure/src/node/placing/placingWay.ts
+++ b/packages/measure/src/node/placing/placingWay.ts
@@ -1,3 +1,4 @@
+import type { NewsBatches } from '@auburnbay/router/peers/createNewsBatches'
 import type { FleetLoad } from '@auburnbay/router/routing/createFleetLoad'
 import type { Placements } from '@auburnbay/router/routing/createPlacements'
 
@@ -15,4 +16,6 @@
 export interface RouterMemory {
   readonly load: FleetLoad
   readonly placements: Placements
+  /** Placements that peers have not all heard of. */
+  readonly news: NewsBatches
 }
--- a/packages/measure/src/node/placing/simulatePlacing.ts
+++ b/packages/measure/src/node/placing/simulatePlacing.ts
@@ -1,3 +1,5 @@
+import { DIGEST_MS, MAX_TOLD, STALE_DIGESTS } from '@auburnbay/router/constants'
+import { createNewsBatches } from '@auburnbay/router/peers/createNewsBatches'
 import { choosePlace } from '@auburnbay/router/routing/choosePlace'
 import { createFleetLoad } from '@auburnbay/router/routing/createFleetLoad'
 import { createPlacements } from '@auburnbay/router/routing/createPlacements'
@@ -12,7 +14,6 @@
 const JOIN_AT_MS = 20_000
 const LEAVE_AT_MS = 35_000
 const LEAVE_GAP_MS = 3_000
-const DIGEST_MS = 200
 const LOST_DIGESTS = 0.025
 const MAX_PROMPTS = 10_000
 
@@ -36,10 +37,17 @@
   }
 }
 
-function createMemory(): RouterMemory {
+/** Digests until a router has told every peer once. */
+const tellingsOf = ({ routers }: PlacingTrace): number =>
+  Math.ceil((routers - 1) / MAX_TOLD)
+
+function createMemory(trace: PlacingTrace): RouterMemory {
+  const placements = createPlacements(MAX_PROMPTS)
+  const staleMs = STALE_DIGESTS * DIGEST_MS * tellingsOf(trace)
   return {
-    load: createFleetLoad(() => 5 * DIGEST_MS),
-    placements: createPlacements(MAX_PROMPTS),
+    load: createFleetLoad(() => staleMs),
+    placements,
+    news: createNewsBatches(() => placements.takeNews()),
   }
 }
 
@@ -52,9 +60,9 @@
   const random = createRandom(seed)
   const lost = createRandom(seed + 1)
   const queue = createEventQueue()
-  const shared = createMemory()
+  const shared = createMemory(trace)
   const memories = Array.from({ length: trace.routers }, () =>
-    way === PlacingWay.AllKnowing ? shared : createMemory(),
+    way === PlacingWay.AllKnowing ? shared : createMemory(trace),
   )
   let targets = Array.from({ length: trace.targets }, (_, i) => createTarget(i))
   const inFlight = new Map<string, number>()
@@ -100,16 +108,26 @@
     })
   }
 
+  let turn = 0
+
+  /** Returns the peers that the next digest of a router goes to. */
+  function peersInTurn(from: number): number[] {
+    const peers = memories.map((_, to) => to).filter((to) => to !== from)
+    const first = (turn * MAX_TOLD) % peers.length
+    return [...peers, ...peers].slice(first, first + MAX_TOLD)
+  }
+
   function tell(): void {
     for (const [from, memory] of memories.entries()) {
-      const news = memory.placements.takeNews()
+      const news = memory.news.next(tellingsOf(trace))
       const work = new Map(memory.load.own())
-      for (const [to, peer] of memories.entries()) {
-        if (to === from || lost.unit() < LOST_DIGESTS) continue
-        peer.placements.heard(news)
-        peer.load.heard(`router-${from}`, work, queue.nowMs)
+      for (const to of new Set(peersInTurn(from))) {
+        if (lost.unit() < LOST_DIGESTS) continue
+        memories[to]?.placements.heard(news)
+        memories[to]?.load.heard(`router-${from}`, work, queue.nowMs)
       }
     }
+    turn += 1
   }
 
   function every(gapMs: () => number, run: () => void): void {
--- a/packages/router/src/node/peers/peerDigest.ts
+++ b/packages/router/src/node/peers/peerDigest.ts
@@ -1,3 +1,4 @@
+import { decode, encode } from '@msgpack/msgpack'
 import * as v from 'valibot'
 
 const digestSchema = v.object({
@@ -26,10 +27,19 @@
 /** What a router tells its peers several times a second. */
 export type PeerDigest = v.InferOutput<typeof digestSchema>
 
+/** Fields in the order in which a datagram has them; their names are not sent. */
+const FIELDS = Object.keys(digestSchema.entries) as (keyof PeerDigest)[]
+
 /** Reads a datagram; undefined where it is no digest. */
-export function decodeDigest(datagram: Buffer): PeerDigest | undefined {
+export function decodeDigest(datagram: Uint8Array): PeerDigest | undefined {
   try {
-    const parsed = v.safeParse(digestSchema, JSON.parse(datagram.toString()))
+    const values = decode(datagram)
+    if (!Array.isArray(values)) return undefined
+    const fields = FIELDS.map((name, at): [string, unknown] => [
+      name,
+      values[at],
+    ])
+    const parsed = v.safeParse(digestSchema, Object.fromEntries(fields))
     return parsed.success ? parsed.output : undefined
   } catch {
     return undefined
@@ -37,6 +47,6 @@
 }
 
 /** Writes a digest as a datagram. */
-export function encodeDigest(digest: PeerDigest): Buffer {
-  return Buffer.from(JSON.stringify(digest))
+export function encodeDigest(digest: PeerDigest): Uint8Array {
+  return encode(FIELDS.map((name) => digest[name]))
 }
