Play the large fleet of the placing measure once

Change: one play of the large trace, which has as many requests as five of the smaller ones together; those keep their five.

--- a/packages/measure/src/node/placing/placingTrace.ts
+++ b/packages/measure/src/node/placing/placingTrace.ts
@@ -13,6 +13,8 @@
   readonly requestsPerS: number
   /** Mean time that a request takes, in milliseconds. */
   readonly requestMs: number
+  /** Times that it is played, each with another seed; a large fleet has requests enough. */
+  readonly plays: number
 }
 
 /** The long prompts of both deployments, and of the first one once it has grown. */
@@ -27,6 +29,7 @@
     promptTokens: 10_000,
     requestsPerS: 30,
     requestMs: 2_000,
+    plays: 5,
   },
   {
     name: 'asociacion',
@@ -38,6 +41,7 @@
     promptTokens: 10_000,
     requestsPerS: 10,
     requestMs: 1_500,
+    plays: 5,
   },
   {
     name: 'corrib-grown',
@@ -49,5 +53,6 @@
     promptTokens: 10_000,
     requestsPerS: 150,
     requestMs: 2_000,
+    plays: 1,
   },
 ]
