Hold a removal back only after an outage of all, not of some

Ruled out: a silent reading of the store (the reader logged the removal 0.4 s after it); slow digests or states (none failed). Change: an outage is one of all only where peers were without the list within the last 2.2 s, the time in which lost entries come back. Figures: new test fails before and passes after; its twin, an outage of all, passes both times.

--- a/packages/router/src/node/targets/__tests__/followTargets.test.ts
+++ b/packages/router/src/node/targets/__tests__/followTargets.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { setImmediate as turn } from 'node:timers/promises'
-import { ok } from 'neverthrow'
+import { err, ok } from 'neverthrow'
+import { SourceFault } from '../../sources/sourceFault.js'
 import type { KeyedSource, SourceEntry } from '../../sources/keyedSource.js'
 import { createTargetView } from '../createTargetView.js'
 import { followTargets } from '../followTargets.js'
@@ -17,20 +18,26 @@
   const changes: SourceEntry<Target>[] = []
   let nowMs = 1_000
   let covered = false
+  let away = false
+  let unreadAtMs = 0
   const source: KeyedSource<Target> = {
     list: () => {
       const values = new Map(listed.map((entry) => [entry.id, entry]))
       return Promise.resolve(ok({ values, end: 0 }))
     },
     read: (from) =>
-      Promise.resolve(ok({ entries: changes.splice(0), end: from })),
+      Promise.resolve(
+        away
+          ? err(SourceFault.Unavailable)
+          : ok({ entries: changes.splice(0), end: from }),
+      ),
   }
   const view = createTargetView(2_000)
   const follower = followTargets({
     source,
     view,
     pauseMs: 1,
-    unreadAtMs: () => 0,
+    unreadAtMs: () => unreadAtMs,
     isCovered: () => covered,
     onChange: () => undefined,
     log: { write: () => undefined },
@@ -51,6 +58,14 @@
     cover: (value: boolean) => {
       covered = value
     },
+    /** Breaks the list for 8 s; peers cannot read it until `unreadMs` after its start. */
+    async outage(unreadMs: number) {
+      away = true
+      await settle()
+      unreadAtMs = nowMs + unreadMs
+      nowMs += 8_000
+      away = false
+    },
     advance: (ms: number) => {
       nowMs += ms
     },
@@ -107,4 +122,27 @@
     assert.deepEqual(test.ready(), [])
     test.follower.stop()
   })
+
+  for (const { title, unreadMs, left } of [
+    {
+      title: 'drops a target at once where peers read the list in an outage',
+      unreadMs: 1_000,
+      left: [],
+    },
+    {
+      title: 'waits for lost entries after an outage of all',
+      unreadMs: 8_000,
+      left: ['a'],
+    },
+  ])
+    it(title, async () => {
+      const test = await follow([target('a')])
+      await test.outage(unreadMs)
+      test.changes.push({ key: 'a' })
+      // A list that did not answer is tried again a quarter of a second later.
+      await new Promise((resolve) => setTimeout(resolve, 300))
+      await test.settle()
+      assert.deepEqual(test.ready(), left)
+      test.follower.stop()
+    })
 })
--- a/packages/router/src/node/targets/followTargets.ts
+++ b/packages/router/src/node/targets/followTargets.ts
@@ -1,5 +1,5 @@
 import { LRUCache } from 'lru-cache'
-import { SHORT_OUTAGE_MS } from '../constants.js'
+import { REJOIN_MS, SHORT_OUTAGE_MS } from '../constants.js'
 import type { DecisionLog } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
 import { createSourceFollower } from '../sources/createSourceFollower.js'
@@ -119,7 +119,9 @@
         source: 'targets',
         lostMs: Math.round(lostMs),
       })
-      const isShared = options.unreadAtMs() > now() - lostMs
+      // Entries are back by now where peers have read for as long as that.
+      const spanMs = Math.min(lostMs, REJOIN_MS)
+      const isShared = options.unreadAtMs() > now() - spanMs
       if (lostMs > SHORT_OUTAGE_MS && isShared) view.regained(now())
     },
   })
