Write the lines on sources once; index a list of targets once

Change: createSourceLines serves both followers; digestWork keeps the index of a list as long as the list lives; the rest is taken out.

--- a/packages/daemon/src/node/targets/createTargetPoller.ts
+++ b/packages/daemon/src/node/targets/createTargetPoller.ts
@@ -1,5 +1,4 @@
-import type { Loop } from '../tasks/createLoop.js'
-import { createLoop } from '../tasks/createLoop.js'
+import { createLoop, type Loop } from '../tasks/createLoop.js'
 import type { TargetAddress } from './targetClient.js'
 
 /** Which targets a round asks: those at work, or those without requests too. */
--- a/packages/measure/src/node/placing/simulatePlacing.ts
+++ b/packages/measure/src/node/placing/simulatePlacing.ts
@@ -114,14 +114,15 @@
   function peersInTurn(from: number): number[] {
     const peers = memories.map((_, to) => to).filter((to) => to !== from)
     const first = (turn * MAX_TOLD) % peers.length
-    return [...peers, ...peers].slice(first, first + MAX_TOLD)
+    const most = Math.min(MAX_TOLD, peers.length)
+    return [...peers, ...peers].slice(first, first + most)
   }
 
   function tell(): void {
     for (const [from, memory] of memories.entries()) {
       const news = memory.news.next(tellingsOf(trace))
       const work = new Map(memory.load.own())
-      for (const to of new Set(peersInTurn(from))) {
+      for (const to of peersInTurn(from)) {
         if (lost.unit() < LOST_DIGESTS) continue
         memories[to]?.placements.heard(news)
         memories[to]?.load.heard(`router-${from}`, work, queue.nowMs)
--- a/packages/router/src/node/configuration/followConfigurations.ts
+++ b/packages/router/src/node/configuration/followConfigurations.ts
@@ -1,9 +1,9 @@
 import type { DecisionLog } from '../logging/decisionLog.js'
-import { LogEvent } from '../logging/logEvent.js'
 import {
   createSourceFollower,
   type SourceFollower,
 } from '../sources/createSourceFollower.js'
+import { createSourceLines } from '../sources/createSourceLines.js'
 import type { KeyedSource } from '../sources/keyedSource.js'
 import type { RouterConfiguration } from './routerConfiguration.js'
 
@@ -24,6 +24,7 @@
   options: FollowConfigurationsOptions,
 ): SourceFollower {
   const { source, isCovered, offer, now, log } = options
+  const lines = createSourceLines(log, 'configurations')
   return createSourceFollower({
     source,
     // A reading waits at the source until there is something new.
@@ -37,14 +38,7 @@
     onEntry: ({ value }) => {
       if (value) offer(value, 'log')
     },
-    onLost: (fault) => {
-      log.write(LogEvent.SourceLost, { source: 'configurations', fault })
-    },
-    onRegained: (lostMs) => {
-      log.write(LogEvent.SourceRegained, {
-        source: 'configurations',
-        lostMs: Math.round(lostMs),
-      })
-    },
+    onLost: lines.lost,
+    onRegained: lines.regained,
   })
 }
--- a/packages/router/src/node/peers/digestWork.ts
+++ b/packages/router/src/node/peers/digestWork.ts
@@ -10,13 +10,27 @@
 /** Numbers that a digest has for each target with work. */
 const NUMBERS_A_TARGET = 3
 
+const placesByIds = new WeakMap<
+  readonly string[],
+  ReadonlyMap<string, number>
+>()
+
+/** Returns the place of each id; a list that stays the same is indexed once. */
+function placesOf(ids: readonly string[]): ReadonlyMap<string, number> {
+  const known = placesByIds.get(ids)
+  if (known) return known
+  const places = new Map(ids.map((id, place) => [id, place]))
+  placesByIds.set(ids, places)
+  return places
+}
+
 /** Writes work and placements; those of targets that are not listed are left out. */
 export function encodeWork(
   ids: readonly string[],
   work: WorkByTarget,
   placements: readonly Placement[],
 ): DigestWork {
-  const places = new Map(ids.map((id, place) => [id, place]))
+  const places = placesOf(ids)
   const told: number[] = []
   for (const [id, { requests, unreadTokens }] of work) {
     const place = places.get(id)
--- a/packages/router/src/node/targets/followTargets.ts
+++ b/packages/router/src/node/targets/followTargets.ts
@@ -3,6 +3,7 @@
 import type { DecisionLog } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
 import { createSourceFollower } from '../sources/createSourceFollower.js'
+import { createSourceLines } from '../sources/createSourceLines.js'
 import type { KeyedSource } from '../sources/keyedSource.js'
 import type { TargetView } from './createTargetView.js'
 import type { Target } from './target.js'
@@ -47,6 +48,7 @@
 /** Starts to follow the list of targets. */
 export function followTargets(options: FollowTargetsOptions): TargetsFollower {
   const { source, view, now, log } = options
+  const lines = createSourceLines(log, 'targets')
   let isKnown = false
   let confirmedAtMs = -Infinity
   let mustRead = false
@@ -111,14 +113,9 @@
       if (value) put(value)
       else remove(key)
     },
-    onLost: (fault) => {
-      log.write(LogEvent.SourceLost, { source: 'targets', fault })
-    },
+    onLost: lines.lost,
     onRegained: (lostMs) => {
-      log.write(LogEvent.SourceRegained, {
-        source: 'targets',
-        lostMs: Math.round(lostMs),
-      })
+      lines.regained(lostMs)
       // Entries are back by now where peers have read for as long as that.
       const spanMs = Math.min(lostMs, REJOIN_MS)
       const isShared = options.unreadAtMs() > now() - spanMs
