--- a/packages/cli/src/node/__tests__/startRouter.ts
+++ b/packages/cli/src/node/__tests__/startRouter.ts
@@ -1,6 +1,10 @@
 import { createDaemon, resolveSettings } from '@auburnbay/daemon'
 import { formatAddress } from '@auburnbay/http-utils'
-import { createLogService, createVmList } from '@auburnbay/stand-ins'
+import {
+  createLogService,
+  createVmList,
+  routerSettings,
+} from '@auburnbay/stand-ins'
 
 /** A router with the platform it needs. */
 export interface TestRouter {
@@ -13,26 +17,13 @@
 export async function startRouter(): Promise<TestRouter> {
   const log = await createLogService()
   const vmList = await createVmList()
-  const anyPort = { host: '127.0.0.1', port: 0 }
-  const token = 'test-admin-token-0123456789'
-  const settings = resolveSettings({
-    router: { id: 'router-1', dataCentre: 'dc-1' },
-    listen: { callers: anyPort, peers: anyPort, admin: anyPort },
-    logService: { url: log.url },
-    vmList: { url: vmList.url },
-    secrets: {
-      peer: 'test-peer-secret-0123456789',
-      hint: 'test-hint-secret-0123456789',
-      admin: token,
-    },
-    logs: { level: 0 },
-    stopping: { balancerDelayMs: 0 },
-  })
+  const base = routerSettings({ id: 'router-1', log, vmList })
+  const settings = resolveSettings(base)
   const daemon = await createDaemon(settings._unsafeUnwrap())
   return {
     env: {
       AUBURNBAY_ADMIN: `http://${formatAddress(daemon.addresses.admin)}`,
-      AUBURNBAY_TOKEN: token,
+      AUBURNBAY_TOKEN: base.secrets.admin,
     },
     stop: async () => {
       await daemon.stop()
--- a/packages/daemon/src/node/__tests__/startFleet.ts
+++ b/packages/daemon/src/node/__tests__/startFleet.ts
@@ -11,6 +11,8 @@
   createLogService,
   createPlainService,
   createVmList,
+  routerSecrets,
+  routerSettings,
   type EngineOptions,
   type EngineStandIn,
   type ListedVm,
@@ -58,33 +60,25 @@
 }
 
 /** Operator token of test fleets. */
-export const TEST_ADMIN_TOKEN = 'test-admin-token-0123456789'
+export const TEST_ADMIN_TOKEN = routerSecrets('test').admin
 
 const CALL_TIMEOUT_MS = 10_000
-const anyPort = { host: '127.0.0.1', port: 0 }
 
-function routerSettings(
+function fleetSettings(
   index: number,
   log: StandIn,
   vmList: StandIn,
   extra: Partial<Settings>,
 ): Settings {
+  const base = routerSettings({ id: `router-${index + 1}`, log, vmList })
   return {
-    router: { id: `router-${index + 1}`, dataCentre: 'dc-1' },
-    listen: { callers: anyPort, peers: anyPort, admin: anyPort },
-    logService: { url: log.url },
-    vmList: { url: vmList.url, pollMs: 50 },
-    secrets: {
-      peer: 'test-peer-secret-0123456789',
-      hint: 'test-hint-secret-0123456789',
-      admin: TEST_ADMIN_TOKEN,
-    },
-    logs: { level: 0 },
+    ...base,
+    vmList: { ...base.vmList, pollMs: 50 },
     peers: { heartbeatMs: 50 },
     targets: { reportMs: 50 },
     // A busy machine must not push requests into the fall-back at random.
     routing: { homeLimitMs: 500 },
-    stopping: { balancerDelayMs: 0, drainTimeoutMs: 10_000 },
+    stopping: { ...base.stopping, drainTimeoutMs: 10_000 },
     ...extra,
   }
 }
@@ -141,7 +135,7 @@
     engines.push(await createEngine(options.engine))
   const routers: Daemon[] = []
   const addRouter = async (extra: Partial<Settings> = {}): Promise<Daemon> => {
-    const settings = routerSettings(routers.length, log, vmList, extra)
+    const settings = fleetSettings(routers.length, log, vmList, extra)
     const resolved = resolveSettings(settings)._unsafeUnwrap()
     const router = await createDaemon(resolved, options.parts)
     routers.push(router)
--- a/packages/daemon/src/node/security/__tests__/startTlsRouter.ts
+++ b/packages/daemon/src/node/security/__tests__/startTlsRouter.ts
@@ -1,4 +1,8 @@
-import { createLogService, createVmList } from '@auburnbay/stand-ins'
+import {
+  createLogService,
+  createVmList,
+  routerSettings,
+} from '@auburnbay/stand-ins'
 import { createDaemon } from '../../createDaemon.js'
 import type { Daemon } from '../../daemon.js'
 import { resolveSettings } from '../../settings/resolveSettings.js'
@@ -25,18 +29,9 @@
   const vmList = await createVmList()
   const listener = { host: '127.0.0.1', port: 0, tls }
   const settings = resolveSettings({
-    router: { id: 'router-1', dataCentre: 'dc-1' },
+    ...routerSettings({ id: 'router-1', log, vmList }),
     listen: { callers: listener, peers: listener, admin: listener },
-    logService: { url: log.url },
-    vmList: { url: vmList.url },
-    secrets: {
-      peer: 'test-peer-secret-0123456789',
-      hint: 'test-hint-secret-0123456789',
-      admin: 'test-admin-token-0123456789',
-    },
     certificates: { pollMs },
-    logs: { level: 0 },
-    stopping: { balancerDelayMs: 0 },
   })
   const daemon = await createDaemon(settings._unsafeUnwrap())
   return {
--- a/packages/measure/src/node/stopping/processFleet.ts
+++ b/packages/measure/src/node/stopping/processFleet.ts
@@ -8,6 +8,8 @@
   createLogService,
   createPlainService,
   createVmList,
+  routerSecrets,
+  routerSettings,
   type EngineOptions,
   type EngineStandIn,
   type PlainServiceStandIn,
@@ -38,8 +40,8 @@
 
 const CALL_TIMEOUT_MS = 10_000
 const READY_PAUSE_MS = 20
-const ADMIN_TOKEN = 'measure-admin-token-0123456789'
-const anyPort = { host: '127.0.0.1', port: 0 }
+const PURPOSE = 'measure'
+const ADMIN_TOKEN = routerSecrets(PURPOSE).admin
 
 /** Returns whether a router's readiness holds. */
 export async function isReady(router: RouterProcess): Promise<boolean> {
@@ -99,17 +101,15 @@
 
   async function start(): Promise<RouterProcess> {
     started += 1
+    const base = routerSettings({
+      id: `router-${started}`,
+      log,
+      vmList,
+      purpose: PURPOSE,
+    })
     const router = await forkRouter({
-      router: { id: `router-${started}`, dataCentre: 'dc-1' },
-      listen: { callers: anyPort, peers: anyPort, admin: anyPort },
-      logService: { url: log.url },
-      vmList: { url: vmList.url, pollMs: 100 },
-      secrets: {
-        peer: 'measure-peer-secret-0123456789',
-        hint: 'measure-hint-secret-0123456789',
-        admin: ADMIN_TOKEN,
-      },
-      logs: { level: 0 },
+      ...base,
+      vmList: { ...base.vmList, pollMs: 100 },
       peers: { heartbeatMs: 100 },
       stopping: options.stopping,
     })
