Let the idle router of the control measure send its reports

Change: the other routers report as by default, to a socket that does not sum them; settings come from the shared fixture.

--- a/packages/measure/src/node/control/startControlFleet.ts
+++ b/packages/measure/src/node/control/startControlFleet.ts
@@ -12,9 +12,11 @@
   type ReadyProcess,
   startProcess,
   type VmListStandIn,
+  routerSecrets,
+  routerSettings,
 } from '@auburnbay/stand-ins'
 import { ENGINES } from './constants.js'
-import type { StatsReader } from './createStatsReader.js'
+import { createStatsReader, type StatsReader } from './createStatsReader.js'
 
 type RouterProcess = ReadyProcess<{ readonly addresses: DaemonAddresses }>
 
@@ -26,7 +28,9 @@
   stop(): Promise<void>
 }
 
-const TOKEN = 'measure-admin-token-0123456789'
+const PURPOSE = 'measure'
+const TOKEN = routerSecrets(PURPOSE).admin
+const METRICS_HOST = { host: '127.0.0.1' }
 const METRICS_MS = 100
 const CALL_TIMEOUT_MS = 10_000
 const daemonUrl = new URL('bin.js', import.meta.resolve('@auburnbay/daemon'))
@@ -72,7 +76,7 @@
   return key.text
 }
 
-/** Starts `count` routers with default settings; the first reports to `stats`. */
+/** Starts `count` routers; the first reports to `stats` often, the others as by default. */
 export async function startControlFleet(
   count: number,
   stats: StatsReader,
@@ -82,25 +86,17 @@
   const engines: EngineStandIn[] = []
   for (let index = 0; index < ENGINES; index += 1)
     engines.push(await createEngine({ words: 1 }))
+  // What the others report is received, as it would be, and not summed.
+  const unread = await createStatsReader()
   const folder = mkdtempSync(join(tmpdir(), 'auburnbay-measure-'))
-  const anyPort = { host: '127.0.0.1', port: 0 }
 
-  function writeSettings(id: string, reports: boolean): string {
+  function writeSettings(id: string, isFirst: boolean): string {
+    const metrics = isFirst
+      ? { ...METRICS_HOST, port: stats.port, everyMs: METRICS_MS }
+      : { ...METRICS_HOST, port: unread.port }
     const settings: Settings = {
-      router: { id, dataCentre: 'dc-1' },
-      listen: { callers: anyPort, peers: anyPort, admin: anyPort },
-      logService: { url: log.url },
-      vmList: { url: vmList.url },
-      secrets: {
-        peer: 'measure-peer-secret-0123456789',
-        hint: 'measure-hint-secret-0123456789',
-        admin: TOKEN,
-      },
-      logs: { level: 0 },
-      stopping: { balancerDelayMs: 0 },
-      ...(reports
-        ? { metrics: { ...anyPort, port: stats.port, everyMs: METRICS_MS } }
-        : {}),
+      ...routerSettings({ id, log, vmList, purpose: PURPOSE }),
+      metrics,
     }
     const path = join(folder, `${id}.json`)
     writeFileSync(path, JSON.stringify(settings))
@@ -122,6 +118,7 @@
     callerKey: await configure(admin, engines),
     stop: async () => {
       await Promise.all(routers.map((router) => router.stop()))
+      unread.close()
       const standIns = [log, vmList, ...engines]
       await Promise.all(standIns.map((standIn) => standIn.close()))
     },
