--- a/packages/daemon/src/node/callers/__tests__/verdicts.test.ts
+++ b/packages/daemon/src/node/callers/__tests__/verdicts.test.ts
@@ -3,6 +3,7 @@
 import { after, before, beforeEach, describe, it } from 'node:test'
 import { VERDICT_HEADER } from '@auburnbay/core'
 import type { PlainFaults } from '@auburnbay/stand-ins'
+import { addService } from '../../__tests__/addService.js'
 import { callApi, type CallerAnswer } from '../../__tests__/callApi.js'
 import { type Fleet, startFleet } from '../../__tests__/startFleet.js'
 
@@ -115,19 +116,7 @@
       server.listen(0, '127.0.0.1', resolve)
     })
     const { port } = server.address() as { port: number }
-    const service = { kind: 'plain' }
-    const target = {
-      service: 'old',
-      address: `127.0.0.1:${port}`,
-      dataCentre: 'dc-1',
-    }
-    await fleet.patch(
-      [
-        { op: 'add', path: '/services/old', value: service },
-        { op: 'add', path: '/targets/old-1', value: target },
-      ],
-      1,
-    )
+    await fleet.patch(addService('old', `127.0.0.1:${port}`), 1)
     const whole = await callApi({
       url: `${fleet.callerUrl()}/v1/services/old/x`,
       headers: { authorization: `Bearer ${fleet.callerKey}` },
--- a/packages/daemon/src/node/security/__tests__/headers.test.ts
+++ b/packages/daemon/src/node/security/__tests__/headers.test.ts
@@ -8,6 +8,7 @@
   sendJson,
   type WebServer,
 } from '@auburnbay/http-utils'
+import { addService } from '../../__tests__/addService.js'
 import { callApi } from '../../__tests__/callApi.js'
 import { type Fleet, startFleet } from '../../__tests__/startFleet.js'
 
@@ -35,15 +36,7 @@
     })
     const address = await listen(target, { host: '127.0.0.1', port: 0 })
     fleet = await startFleet({ engines: 1 })
-    const value = {
-      service: 'echo',
-      address: formatAddress(address),
-      dataCentre: 'dc-1',
-    }
-    const operations = [
-      { op: 'add', path: '/services/echo', value: { kind: 'plain' } },
-      { op: 'add', path: '/targets/echo-1', value },
-    ]
+    const operations = addService('echo', formatAddress(address))
     assert.equal((await fleet.patch(operations, 1)).status, 200)
   })
 
--- a/packages/daemon/src/node/security/__tests__/targetTls.test.ts
+++ b/packages/daemon/src/node/security/__tests__/targetTls.test.ts
@@ -8,6 +8,7 @@
   listen,
   sendJson,
 } from '@auburnbay/http-utils'
+import { addService } from '../../__tests__/addService.js'
 import { callApi } from '../../__tests__/callApi.js'
 import { eventually, startFleet } from '../../__tests__/startFleet.js'
 import { createTestCertificates } from './createTestCertificates.js'
@@ -48,23 +49,10 @@
     const targets = { tls: { caFile }, reportMs: 50 }
     const fleet = await startFleet({ engines: 1, settings: { targets } })
     try {
-      const add = (
-        id: string,
-        service: string,
-        address: string,
-        kind = 'plain',
-      ) => [
-        { op: 'add', path: `/services/${service}`, value: { kind } },
-        {
-          op: 'add',
-          path: `/targets/${id}`,
-          value: { service, address, dataCentre: 'dc-1' },
-        },
-      ]
       const operations = [
-        ...add('known-1', 'known', known.address),
-        ...add('stranger-1', 'stranger', stranger.address),
-        ...add('model-1', 'model', known.address, 'model'),
+        ...addService('known', known.address),
+        ...addService('stranger', stranger.address),
+        ...addService('model', known.address, 'model'),
       ]
       assert.equal((await fleet.patch(operations, 1)).status, 200)
       const call = (service: string) =>
--- a/packages/daemon/src/node/targets/__tests__/keptConnections.test.ts
+++ b/packages/daemon/src/node/targets/__tests__/keptConnections.test.ts
@@ -8,6 +8,7 @@
   listen,
   sendJson,
 } from '@auburnbay/http-utils'
+import { addService } from '../../__tests__/addService.js'
 import { callApi } from '../../__tests__/callApi.js'
 import { startFleet } from '../../__tests__/startFleet.js'
 
@@ -24,12 +25,7 @@
     const taken = await listen(target, { host: '127.0.0.1', port: 0 })
     const fleet = await startFleet({ engines: 1 })
     try {
-      const address = formatAddress(taken)
-      const value = { service: 'echo', address, dataCentre: 'dc-1' }
-      const operations = [
-        { op: 'add', path: '/services/echo', value: { kind: 'plain' } },
-        { op: 'add', path: '/targets/echo-1', value },
-      ]
+      const operations = addService('echo', formatAddress(taken))
       assert.equal((await fleet.patch(operations, 1)).status, 200)
       for (let call = 0; call < CALLS; call += 1) {
         const answer = await callApi({
--- a/packages/daemon/src/node/tracing/__tests__/hops.test.ts
+++ b/packages/daemon/src/node/tracing/__tests__/hops.test.ts
@@ -13,6 +13,7 @@
   type ReadableSpan,
   SimpleSpanProcessor,
 } from '@opentelemetry/sdk-trace-base'
+import { addService } from '../../__tests__/addService.js'
 import { callApi, callChat } from '../../__tests__/callApi.js'
 import {
   eventually,
@@ -43,14 +44,8 @@
       engines: 1,
       parts: { spanProcessors: [new SimpleSpanProcessor(exporter)] },
     })
-    const value = {
-      service: 'echo',
-      address: formatAddress(address),
-      dataCentre: 'dc-1',
-    }
     const operations = [
-      { op: 'add', path: '/services/echo', value: { kind: 'plain' } },
-      { op: 'add', path: '/targets/echo-1', value },
+      ...addService('echo', formatAddress(address)),
       {
         op: 'add',
         path: '/rules/urgent',
