List the log again after a restore from an older copy

Offsets are assigned again, so a reader that goes on at its old offset misses records without notice; the entry of a router in the directory, which is written once, is gone for good; a listing taken right after the restore lacks targets and brings back removed or undrained ones.

Change: the adapter reads the restore count (Store-Era) of every response into LogRestores; digests carry it to peers that read nothing themselves. When it rises, followers drop their offset and list again, targets missing from the listing stay for the rejoin window, listed entries older than what the router knows are ignored in that window, and each router registers again. A response whose offset was valid before the restore is discarded. A malformed count is logged once and counts as unknown.

--- a/packages/measure/src/node/placing/measureDigests.ts
+++ b/packages/measure/src/node/placing/measureDigests.ts
@@ -30,6 +30,7 @@
     targetsReadMs: 100,
     targetsAgeMs: 100,
     stopping: false,
+    logRestores: 1,
     ...encodeLoad(ids, loads, locations),
   })
   return digest.length + HEADER_BYTES
--- a/packages/router/src/node/configuration/followConfigurations.ts
+++ b/packages/router/src/node/configuration/followConfigurations.ts
@@ -3,6 +3,7 @@
   createSourceFollower,
   type SourceFollower,
 } from '../sources/createSourceFollower.js'
+import type { LogRestores } from '../sources/createLogRestores.js'
 import { createSourceLogger } from '../sources/createSourceLogger.js'
 import type { KeyedSource } from '../sources/keyedSource.js'
 import type { RouterConfiguration } from './routerConfiguration.js'
@@ -10,6 +11,7 @@
 /** Options for {@link followConfigurations}. */
 export interface FollowConfigurationsOptions {
   readonly source: KeyedSource<RouterConfiguration>
+  readonly logRestores: LogRestores
   /** Whether a peer has polled the source recently enough for this router. */
   readonly hasFreshReader: () => boolean
   /** Activates a configuration if it is newer; `from` names where it came from. */
@@ -26,10 +28,12 @@
 export function followConfigurations(
   options: FollowConfigurationsOptions,
 ): SourceFollower {
-  const { source, hasFreshReader, applyIfNewer, now, log } = options
+  const { source, logRestores, hasFreshReader, applyIfNewer, now, log } =
+    options
   const sourceLogger = createSourceLogger(log, 'configurations')
   return createSourceFollower({
     source,
+    logRestores,
     // A poll waits at the source until there is a change.
     pollIntervalMs: 0,
     now,
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -84,8 +84,12 @@
     })
   }
 
+  ports.logRestores.onRestore((restores) => {
+    log.write(LogEvent.LogRestored, { restores })
+  })
   const configurations = followConfigurations({
     source: ports.configurations,
+    logRestores: ports.logRestores,
     hasFreshReader: () => peers.current?.hasFreshConfigurationReader() ?? false,
     applyIfNewer: applyConfiguration,
     now,
@@ -93,6 +97,7 @@
   })
   const targets = followTargets({
     source: ports.targets,
+    logRestores: ports.logRestores,
     targetList,
     pollIntervalMs: settings.bounds.drainMs / constants.POLLS_PER_DRAIN,
     lastFleetOutageAtMs: () => peers.current?.lastFleetOutageAtMs() ?? now(),
@@ -118,6 +123,7 @@
     load,
     cacheLocations,
     directory: ports.directory,
+    logRestores: ports.logRestores,
     isStopping: () => stopping,
     log,
     now,
--- a/packages/router/src/node/logging/logEvent.ts
+++ b/packages/router/src/node/logging/logEvent.ts
@@ -14,6 +14,8 @@
   TargetHealth = 'target-health',
   SourceUnavailable = 'source-lost',
   SourceRecovered = 'source-regained',
+  LogRestored = 'log-restored',
+  RestoreCountRejected = 'restore-count-rejected',
   EntryRejected = 'entry-rejected',
   PeerFound = 'peer-found',
   PeerLost = 'peer-lost',
--- a/packages/router/src/node/peers/__tests__/createPeerTable.test.ts
+++ b/packages/router/src/node/peers/__tests__/createPeerTable.test.ts
@@ -20,6 +20,7 @@
     stopping: false,
     work: [1, 2, 130],
     placed: [['prompt', 1]],
+    logRestores: 3,
     ...fields,
   }
 }
--- a/packages/router/src/node/peers/createPeers.ts
+++ b/packages/router/src/node/peers/createPeers.ts
@@ -2,6 +2,7 @@
 import type { DecisionLog } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
 import type { RouterDirectory } from '../routerPorts.js'
+import type { LogRestores } from '../sources/createLogRestores.js'
 import type { FleetLoad } from '../routing/createFleetLoad.js'
 import type { CacheLocations } from '../routing/createCacheLocations.js'
 import type { RouterSettings } from '../settings/settingsSchema.js'
@@ -26,6 +27,7 @@
   readonly load: FleetLoad
   readonly cacheLocations: CacheLocations
   readonly directory: RouterDirectory
+  readonly logRestores: LogRestores
   readonly isStopping: () => boolean
   readonly log: DecisionLog
   /** Monotonic clock, in milliseconds. */
@@ -55,7 +57,8 @@
 
 /** Starts to exchange digests; rejects if the address is in use. */
 export async function createPeers(options: PeersOptions): Promise<Peers> {
-  const { settings, state, load, cacheLocations, log, now } = options
+  const { settings, state, load, cacheLocations, logRestores, log, now } =
+    options
   const { id: router } = settings.router
   let sequence = 0
   let lastFleetOutageAtMs = now()
@@ -92,6 +95,7 @@
       targetsReadMs: finiteOrNull(state.targetsPollAgeMs()),
       targetsAgeMs: finiteOrNull(state.targetsAgeMs()),
       stopping: options.isStopping(),
+      logRestores: logRestores.count ?? null,
       ...encodeLoad(
         state.targetIds(),
         load.own(),
@@ -113,6 +117,7 @@
     const wasLive = table.find(received.router, now()) !== undefined
     if (!table.update(received, host, now())) return
     if (!wasLive) log.write(LogEvent.PeerFound, { peer: received.router })
+    if (received.logRestores !== null) logRestores.report(received.logRestores)
     applyLoad(received)
     const peer = table.find(received.router, now())
     if (peer) fetcher.onDigest(peer)
@@ -193,6 +198,7 @@
 
   const registration = joinDirectory({
     directory: options.directory,
+    logRestores,
     router,
     address,
     onListed: (peer, peerAddress) => {
--- a/packages/router/src/node/peers/joinDirectory.ts
+++ b/packages/router/src/node/peers/joinDirectory.ts
@@ -4,12 +4,14 @@
   DIRECTORY_RETRY_MS,
   DIGEST_FANOUT,
 } from '../constants.js'
+import type { LogRestores } from '../sources/createLogRestores.js'
 import type { RouterDirectory } from '../routerPorts.js'
 import type { PeerAddress } from './peerAddress.js'
 
 /** Options for {@link joinDirectory}. */
 export interface JoinDirectoryOptions {
   readonly directory: RouterDirectory
+  readonly logRestores: LogRestores
   readonly router: string
   readonly address: PeerAddress
   readonly onListed: (router: string, address: PeerAddress) => void
@@ -28,18 +30,37 @@
 export function joinDirectory(options: JoinDirectoryOptions): {
   leave(): void
 } {
-  const { directory, router, address, onListed } = options
+  const { directory, logRestores, router, address, onListed } = options
   const controller = new AbortController()
   const { signal } = controller
 
+  let isRegistered = false
+  let pauseAborter = new AbortController()
+
+  // The log may have lost the registration.
+  logRestores.onRestore(() => {
+    isRegistered = false
+    pauseAborter.abort()
+  })
+
   function pause(ms: number): Promise<void> {
-    return sleep(ms, undefined, { signal, ref: false }).catch(() => undefined)
+    pauseAborter = new AbortController()
+    return sleep(ms, undefined, {
+      signal: AbortSignal.any([signal, pauseAborter.signal]),
+      ref: false,
+    }).catch(() => undefined)
+  }
+
+  async function register(): Promise<void> {
+    const restores = logRestores.count
+    const isConfirmed = await directory.register(router, address)
+    isRegistered =
+      isConfirmed && (logRestores.count === restores || restores === undefined)
   }
 
   async function run(): Promise<void> {
-    let isRegistered = false
     while (!signal.aborted) {
-      isRegistered ||= await directory.register(router, address)
+      if (!isRegistered) await register()
       const listed = await directory.list()
       // The response to the registration may have been lost.
       isRegistered ||= isSameAddress(listed?.get(router), address)
--- a/packages/router/src/node/peers/peerDigest.ts
+++ b/packages/router/src/node/peers/peerDigest.ts
@@ -22,6 +22,8 @@
   work: v.array(v.number()),
   /** New cache locations: affinity keys and the indexes of their targets in the list of ids. */
   placed: v.array(v.pipe(v.tuple([v.string(), v.number()]), v.readonly())),
+  /** Restores of the log that the router has seen; null if unknown. */
+  logRestores: v.optional(v.nullable(v.number()), null),
 })
 
 /** State that a router broadcasts to its peers several times per second. */
--- a/packages/router/src/node/routerPorts.ts
+++ b/packages/router/src/node/routerPorts.ts
@@ -2,6 +2,7 @@
 import type { RouterConfiguration } from './configuration/routerConfiguration.js'
 import type { DecisionLog } from './logging/decisionLog.js'
 import type { PeerAddress } from './peers/peerAddress.js'
+import type { LogRestores } from './sources/createLogRestores.js'
 import type { KeyedSource } from './sources/keyedSource.js'
 import type { Target } from './targets/target.js'
 import type { TargetProtocol } from './targets/targetProtocol.js'
@@ -23,6 +24,8 @@
   /** Targets by id. */
   readonly targets: KeyedSource<Target>
   readonly directory: RouterDirectory
+  /** Restores of the log that holds configurations, targets and the directory. */
+  readonly logRestores: LogRestores
 }
 
 /** Creates the ports of a router for the log service at an address. */
--- a/packages/router/src/node/sources/createSourceFollower.ts
+++ b/packages/router/src/node/sources/createSourceFollower.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises'
+import type { LogRestores } from './createLogRestores.js'
 import type { KeyedSource, SourceEntry } from './keyedSource.js'
 import { SourceFault } from './sourceFault.js'
 
@@ -14,6 +15,8 @@
   readonly now: () => number
   /** Whether a peer polls for this router, which then only lists the source once. */
   readonly hasFreshReader?: () => boolean
+  /** Restores of the source's log, after which offsets are no longer valid. */
+  readonly logRestores?: LogRestores
   readonly onListing: (values: ReadonlyMap<string, T>) => void
   readonly onEntry: (entry: SourceEntry<T>) => void
   /** Called after each successful poll, once its changes are applied. */
@@ -34,10 +37,12 @@
 export function createSourceFollower<T>(
   options: SourceFollowerOptions<T>,
 ): SourceFollower {
-  const { source, now, onListing, onEntry } = options
+  const { source, now, onListing, onEntry, logRestores } = options
   const stopping = new AbortController()
   const { signal } = stopping
   let nextOffset: number | undefined
+  /** Restore count for which `nextOffset` is valid. */
+  let offsetRestores: number | undefined
   let lastPollAtMs = -Infinity
   let outageStartMs: number | undefined
 
@@ -58,14 +63,26 @@
     options.onUnavailable?.(fault)
   }
 
+  function wasRestoredSince(restores: number | undefined): boolean {
+    return restores !== undefined && logRestores?.count !== restores
+  }
+
+  function setNextOffset(offset: number | undefined): void {
+    nextOffset = offset
+    offsetRestores = logRestores?.count
+  }
+
   async function list(): Promise<boolean> {
+    const restores = logRestores?.count
     const listing = await source.list()
     if (listing.isErr()) {
       onFault(listing.error)
       return false
     }
     onSuccess()
-    nextOffset = listing.value.nextOffset
+    // Its pages may come from before and after the restore.
+    if (wasRestoredSince(restores)) return false
+    setNextOffset(listing.value.nextOffset)
     onListing(listing.value.values)
     options.onRead?.()
     return true
@@ -78,9 +95,14 @@
       return page.error === SourceFault.Trimmed
     }
     onSuccess()
+    if (wasRestoredSince(offsetRestores)) {
+      nextOffset = undefined
+      return false
+    }
     // A next offset below `from` means that the log was replaced by another one.
-    nextOffset =
-      page.value.nextOffset < from ? undefined : page.value.nextOffset
+    setNextOffset(
+      page.value.nextOffset < from ? undefined : page.value.nextOffset,
+    )
     // Only the last change of a key counts; earlier ones are superseded.
     const last = new Map(page.value.entries.map((entry) => [entry.key, entry]))
     for (const entry of last.values()) onEntry(entry)
@@ -90,9 +112,10 @@
 
   /** Polls once; resolves with the milliseconds until the next poll. */
   async function poll(): Promise<number> {
+    if (nextOffset !== undefined && options.hasFreshReader?.()) return RETRY_MS
+    if (wasRestoredSince(offsetRestores)) nextOffset = undefined
     if (nextOffset === undefined)
       return (await list()) ? options.pollIntervalMs : RETRY_MS
-    if (options.hasFreshReader?.()) return RETRY_MS
     return (await readChanges(nextOffset)) ? options.pollIntervalMs : RETRY_MS
   }
 
--- a/packages/router/src/node/targets/followTargets.ts
+++ b/packages/router/src/node/targets/followTargets.ts
@@ -3,6 +3,7 @@
 import type { DecisionLog } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
 import { createSourceFollower } from '../sources/createSourceFollower.js'
+import type { LogRestores } from '../sources/createLogRestores.js'
 import { createSourceLogger } from '../sources/createSourceLogger.js'
 import type { KeyedSource } from '../sources/keyedSource.js'
 import type { TargetList } from './createTargetList.js'
@@ -14,6 +15,7 @@
 /** Options for {@link followTargets}. */
 export interface FollowTargetsOptions {
   readonly source: KeyedSource<Target>
+  readonly logRestores?: LogRestores
   readonly targetList: TargetList
   /** Milliseconds between two polls. */
   readonly pollIntervalMs: number
@@ -47,11 +49,12 @@
 
 /** Starts to follow the source of targets. */
 export function followTargets(options: FollowTargetsOptions): TargetsFollower {
-  const { source, targetList, now, log } = options
+  const { source, targetList, logRestores, now, log } = options
   const sourceLogger = createSourceLogger(log, 'targets')
   let isLoaded = false
   let confirmedAtMs = -Infinity
   let mustPoll = false
+  let restoredAtMs = -Infinity
   // A peer's older list must not bring removed targets back.
   const removed = new LRUCache<string, true>({ max: MAX_REMOVED })
 
@@ -78,13 +81,25 @@
     confirmedAtMs = Math.max(confirmedAtMs, now() - ageMs)
   }
 
+  logRestores?.onRestore(() => {
+    restoredAtMs = now()
+    // Targets that registered after the copy was made register again.
+    targetList.startRejoinWindow(restoredAtMs)
+  })
+
+  /** Whether a listed entry may be from before a change that the log has lost. */
+  function isFromOldCopy(target: Target): boolean {
+    return now() - restoredAtMs < REJOIN_WINDOW_MS && isOutdated(target)
+  }
+
   function replace(values: ReadonlyMap<string, Target>): void {
     isLoaded = true
-    for (const target of values.values()) set(target)
+    for (const target of values.values())
+      if (!isFromOldCopy(target)) set(target)
     for (const { id } of [...targetList.all()]) if (!values.has(id)) remove(id)
   }
 
-  /** Whether a peer's entry is older than this router's. */
+  /** Whether an entry is older than what this router knows. */
   function isOutdated({ id, draining }: Target): boolean {
     if (removed.has(id)) return true
     return targetList.find(id)?.draining === true && !draining
@@ -102,6 +117,7 @@
 
   const follower = createSourceFollower({
     source,
+    ...(logRestores && { logRestores }),
     pollIntervalMs: options.pollIntervalMs,
     hasFreshReader: () => !mustPoll && options.hasFreshReader(),
     onRead: () => {
