Give prompts a second holder when the observed loss rate pays for it

Hypothesis: most shared parts that are read again were on a target that left or crashed; a second copy, fetched for a seventh of the price of a prefill, saves them. Targets lost per target and second are observed; a prompt is copied when the expected loss outweighs the copy.

--- a/packages/router/src/node/routing/createCacheLocations.ts
+++ b/packages/router/src/node/routing/createCacheLocations.ts
@@ -1,7 +1,11 @@
 import { LRUCache } from 'lru-cache'
 
-/** Ids of the targets that cache one prompt, the latest first. */
-type CacheTargets = readonly string[]
+/** The targets that cache one prompt. */
+interface Prompt {
+  /** Target ids, the latest first. */
+  readonly targets: readonly string[]
+  readonly firstUsedAtMs: number
+}
 
 /** The affinity key of a prompt and the id of a target that caches it. */
 export type CacheLocation = readonly [key: string, targetId: string]
@@ -15,10 +19,12 @@
   /** Adds locations that a peer reported. */
   merge(locations: readonly CacheLocation[]): void
   /** Returns the ids of the targets that cache a prompt, the latest first. */
-  cachedOn(key: string): CacheTargets
+  cachedOn(key: string): readonly string[]
+  /** Returns the milliseconds since a prompt was first used; 0 if it is unknown. */
+  inUseMs(key: string): number
   /** Returns the locations added by this router since the last call. */
   takeUpdates(): CacheLocation[]
-  /** Returns the latest location of every prompt. */
+  /** Returns every location, the latest of each prompt last. */
   all(): CacheLocation[]
 }
 
@@ -30,16 +36,23 @@
 /**
  * Creates an empty table of cache locations.
  * @param maxKeys Prompts that are remembered; the least recently used are evicted.
+ * @param now Monotonic clock, in milliseconds.
  */
-export function createCacheLocations(maxKeys: number): CacheLocations {
-  const byKey = new LRUCache<string, CacheTargets>({ max: maxKeys })
+export function createCacheLocations(
+  maxKeys: number,
+  now: () => number,
+): CacheLocations {
+  const byKey = new LRUCache<string, Prompt>({ max: maxKeys })
   let updates = new Map<string, string>()
 
   function addLocation(key: string, targetId: string): void {
-    const known = byKey.get(key) ?? []
-    if (known[0] === targetId) return
-    const others = known.filter((id) => id !== targetId)
-    byKey.set(key, [targetId, ...others].slice(0, MAX_TARGETS_PER_PROMPT))
+    const known = byKey.get(key)
+    if (known?.targets[0] === targetId) return
+    const others = known?.targets.filter((id) => id !== targetId) ?? []
+    byKey.set(key, {
+      targets: [targetId, ...others].slice(0, MAX_TARGETS_PER_PROMPT),
+      firstUsedAtMs: known?.firstUsedAtMs ?? now(),
+    })
   }
 
   return {
@@ -48,15 +61,21 @@
       if (updates.size < MAX_UPDATES) updates.set(key, targetId)
     },
     remove(key, targetId) {
-      const others = (byKey.get(key) ?? []).filter((id) => id !== targetId)
-      if (others.length > 0) byKey.set(key, others)
+      const known = byKey.get(key)
+      const others = known?.targets.filter((id) => id !== targetId) ?? []
+      if (known && others.length > 0)
+        byKey.set(key, { ...known, targets: others })
       else byKey.delete(key)
       if (updates.get(key) === targetId) updates.delete(key)
     },
     merge(locations) {
       for (const [key, targetId] of locations) addLocation(key, targetId)
     },
-    cachedOn: (key) => byKey.get(key) ?? [],
+    cachedOn: (key) => byKey.get(key)?.targets ?? [],
+    inUseMs(key) {
+      const known = byKey.get(key)
+      return known ? now() - known.firstUsedAtMs : 0
+    },
     takeUpdates() {
       const taken = [...updates]
       updates = new Map()
@@ -64,8 +83,8 @@
     },
     all() {
       const all: CacheLocation[] = []
-      for (const [key, [latest]] of byKey.entries())
-        if (latest !== undefined) all.push([key, latest])
+      for (const [key, { targets }] of byKey.entries())
+        for (const id of targets.toReversed()) all.push([key, id])
       return all
     },
   }
--- a/packages/router/src/node/routing/createTargetSelector.ts
+++ b/packages/router/src/node/routing/createTargetSelector.ts
@@ -8,6 +8,8 @@
 import { selectTarget } from './selectTarget.js'
 import type { FleetLoad } from './createFleetLoad.js'
 import type { CacheLocations } from './createCacheLocations.js'
+import { createTargetLossRates } from './createTargetLossRates.js'
+import { wantedHolders } from './wantedHolders.js'
 
 /** Options for {@link createTargetSelector}. */
 export interface TargetSelectorOptions {
@@ -54,11 +56,22 @@
 ): TargetSelector {
   const { targetList, load, cacheLocations, health, stallDetector } = options
   const { sharesCache, now } = options
+  const lossRates = createTargetLossRates()
+
+  function holdersOf(key: string, service: string): number {
+    // A further holder pays off only if it fetches the prompt.
+    if (!sharesCache(service)) return 1
+    return wantedHolders({
+      lossesPerMs: lossRates.lossesPerMs(service),
+      inUseMs: cacheLocations.inUseMs(key),
+    })
+  }
 
   return {
     select(call, tried) {
       const nowMs = now()
       const ready = targetList.ready(call.service, nowMs)
+      lossRates.observe(call.service, ready, nowMs)
       const eligible = health.eligibleTargets(call.service, ready, nowMs)
       const available = eligible.filter(
         ({ id }) => !tried.has(id) && !stallDetector.isStalled(id, nowMs),
@@ -71,7 +84,10 @@
         promptTokens: tokensOf(call.request.promptParts),
         tieBreaker: call.request.attemptId,
         cachedOn: key === undefined ? [] : cacheLocations.cachedOn(key),
-        ...(key !== undefined && { affinity: key }),
+        ...(key !== undefined && {
+          affinity: key,
+          wantedHolders: holdersOf(key, call.service),
+        }),
       })
     },
     findCacheSource(call, selected) {
--- a/packages/router/src/node/routing/selectTarget.ts
+++ b/packages/router/src/node/routing/selectTarget.ts
@@ -13,6 +13,8 @@
   readonly promptTokens: number
   /** Ids of the targets that cache the prompt, the preferred first. */
   readonly cachedOn: readonly string[]
+  /** Targets that should cache the prompt; 1 by default. A further one fetches it from a holder. */
+  readonly wantedHolders?: number
   /** Key that orders equally loaded targets, different for each request. */
   readonly tieBreaker: string
 }
@@ -83,6 +85,12 @@
   const cacheTargets = cachedOn.flatMap((id) =>
     available.filter((target) => target.id === id),
   )
+  const holders = targets.filter(({ id }) => cachedOn.includes(id)).length
+  if (holders > 0 && holders < (options.wantedHolders ?? 1)) {
+    const others = available.filter(({ id }) => !cachedOn.includes(id))
+    const [nextHolder] = orderBy(affinity, others)
+    if (nextHolder) return nextHolder
+  }
   if (cacheTargets.length > 0) return findShortestPrefill(options, cacheTargets)
   // With several candidates two routers may send the same prompt to two targets,
   // and both prefill it. Only a short prompt is cheap enough for that.
