Report cache locations by target id and fetch them after being alone

Cause: a digest named the target of a new cache location by its index in the sender's target list, so a receiver with another list dropped the location; a router that was cut off from its peers never fetched what it had missed.

Change: digests carry the id; after a time without any live peer a router fetches the whole table again. Indexes of an earlier release are ignored.

--- a/packages/measure/src/node/placing/measureDigests.ts
+++ b/packages/measure/src/node/placing/measureDigests.ts
@@ -31,7 +31,8 @@
     targetsAgeMs: 100,
     stopping: false,
     logRestores: 1,
-    ...encodeLoad(ids, loads, locations),
+    ...encodeLoad(ids, loads),
+    placed: [...locations],
   })
   return digest.length + HEADER_BYTES
 }
--- /dev/null
+++ b/packages/router/src/node/peers/__tests__/cacheLocationsOf.test.ts
@@ -0,0 +1,36 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { cacheLocationsOf } from '../cacheLocationsOf.js'
+import { decodeDigest, encodeDigest, type PeerDigest } from '../peerDigest.js'
+
+const DIGEST: PeerDigest = {
+  router: 'r1',
+  incarnation: 'first',
+  sequence: 1,
+  port: 7_000,
+  configurationVersion: 4,
+  configurationReadMs: 10,
+  targetsFingerprint: 1,
+  targetsReadMs: null,
+  targetsAgeMs: 10,
+  stopping: false,
+  work: [],
+  placed: [
+    ['prompt', 't1'],
+    ['other', 't2'],
+  ],
+  logRestores: null,
+}
+
+describe('cacheLocationsOf', () => {
+  it('returns locations that do not depend on the target list of the receiver', () => {
+    const received = decodeDigest(encodeDigest(DIGEST))
+    assert.ok(received)
+    assert.deepEqual(cacheLocationsOf(received), DIGEST.placed)
+  })
+
+  it('ignores the indexes of an earlier release', () => {
+    const placed: PeerDigest['placed'] = [['prompt', 3]]
+    assert.deepEqual(cacheLocationsOf({ ...DIGEST, placed }), [])
+  })
+})
--- a/packages/router/src/node/peers/createPeerStateFetcher.ts
+++ b/packages/router/src/node/peers/createPeerStateFetcher.ts
@@ -25,6 +25,8 @@
 export interface PeerStateFetcher {
   /** Compares a peer's new digest with this router's state and fetches newer state. */
   onDigest(peer: Peer): void
+  /** Fetches the cache locations with the next digest, as some may have been missed. */
+  requestCacheLocations(): void
 }
 
 /** Returns the upper bound on the staleness of a peer's target list, in milliseconds. */
@@ -39,12 +41,12 @@
   const { routerState, onCacheLocations, log, now } = options
   let isFetching = false
   let hasFetched = false
+  let needsCacheLocations = true
 
   function hasNewer(peer: Peer): boolean {
     const { digest } = peer
     if (!digest) return false
-    // A router that has just started needs the cache locations.
-    if (!hasFetched) return true
+    if (needsCacheLocations) return true
     if (digest.configurationVersion > routerState.configurationVersion())
       return true
     const ageMs = targetsAgeOf(peer, now())
@@ -62,7 +64,7 @@
       ...(hasFetched && {
         targetsFingerprint: routerState.targetsFingerprint(),
       }),
-      wantsPlacements: !hasFetched,
+      wantsPlacements: needsCacheLocations,
     })
     const sentAtMs = now()
     const response = await requestBytes({
@@ -81,13 +83,19 @@
     hasFetched = true
     const { configuration, placements, targets, targetsAgeMs } = state
     if (configuration) routerState.applyConfiguration(configuration, router)
-    if (placements) onCacheLocations(placements)
+    if (placements) {
+      needsCacheLocations = false
+      onCacheLocations(placements)
+    }
     const ageMs = (targetsAgeMs ?? Infinity) + now() - sentAtMs
     if (ageMs >= routerState.targetsAgeMs()) return
     if (targets) routerState.applyTargets(targets, ageMs)
   }
 
   return {
+    requestCacheLocations() {
+      needsCacheLocations = true
+    },
     onDigest(peer) {
       if (isFetching || !hasNewer(peer)) return
       isFetching = true
--- a/packages/router/src/node/peers/createPeers.ts
+++ b/packages/router/src/node/peers/createPeers.ts
@@ -13,7 +13,8 @@
 import { createPeerStateFetcher } from './createPeerStateFetcher.js'
 import { joinDirectory } from './joinDirectory.js'
 import type { PeerDigest } from './peerDigest.js'
-import { decodeCacheLocations, decodeLoad, encodeLoad } from './digestLoad.js'
+import { cacheLocationsOf } from './cacheLocationsOf.js'
+import { decodeLoad, encodeLoad } from './digestLoad.js'
 import { hasFreshReader, type PollAge } from './hasFreshReader.js'
 import type { RouterState } from './routerState.js'
 
@@ -96,27 +97,26 @@
       targetsAgeMs: finiteOrNull(state.targetsAgeMs()),
       stopping: options.isStopping(),
       logRestores: logRestores.count ?? null,
-      ...encodeLoad(
-        state.targetIds(),
-        load.own(),
-        updates.next(roundsToReachAll()),
-      ),
+      ...encodeLoad(state.targetIds(), load.own()),
+      placed: [...updates.next(roundsToReachAll())],
     }
   }
 
-  /** Applies load and cache locations, whose indexes are valid for one target list only. */
+  /** Applies load, whose indexes are valid for one target list only. */
   function applyLoad(received: PeerDigest): void {
     if (received.targetsFingerprint !== state.targetsFingerprint()) return
     const ids = state.targetIds()
     load.updatePeer(received.router, decodeLoad(ids, received), now())
-    cacheLocations.merge(decodeCacheLocations(ids, received))
   }
 
   function onDigest(received: PeerDigest, host: string): void {
     if (received.router === router) return
+    const wasAlone = table.livePeers(now()).length === 0
     const wasLive = table.find(received.router, now()) !== undefined
     if (!table.update(received, host, now())) return
     if (!wasLive) log.write(LogEvent.PeerFound, { peer: received.router })
+    if (wasAlone) fetcher.requestCacheLocations()
+    cacheLocations.merge(cacheLocationsOf(received))
     if (received.logRestores !== null) logRestores.report(received.logRestores)
     applyLoad(received)
     const peer = table.find(received.router, now())
--- a/packages/router/src/node/peers/digestLoad.ts
+++ b/packages/router/src/node/peers/digestLoad.ts
@@ -1,9 +1,8 @@
-import type { CacheLocation } from '../routing/createCacheLocations.js'
 import type { TargetLoad, LoadByTarget } from '../routing/targetLoad.js'
 import type { PeerDigest } from './peerDigest.js'
 
-/** The fields of a digest that identify targets by their index in the list of ids. */
-export type DigestLoad = Pick<PeerDigest, 'work' | 'placed'>
+/** The field of a digest that identifies targets by their index in the list of ids. */
+export type DigestLoad = Pick<PeerDigest, 'work'>
 
 /** Tokens in one unit of a digest. */
 const TOKEN_UNIT = 100
@@ -21,11 +20,10 @@
   return indexes
 }
 
-/** Encodes load and cache locations; those of unlisted targets are left out. */
+/** Encodes load; that of unlisted targets is left out. */
 export function encodeLoad(
   ids: readonly string[],
   load: LoadByTarget,
-  locations: readonly CacheLocation[],
 ): DigestLoad {
   const indexes = indexOf(ids)
   const work: number[] = []
@@ -34,12 +32,7 @@
     if (index === undefined) continue
     work.push(index, requests, Math.round(pendingPromptTokens / TOKEN_UNIT))
   }
-  const placed: [string, number][] = []
-  for (const [key, id] of locations) {
-    const index = indexes.get(id)
-    if (index !== undefined) placed.push([key, index])
-  }
-  return { work, placed }
+  return { work }
 }
 
 /** Decodes the load in a digest. */
@@ -59,16 +52,3 @@
   }
   return load
 }
-
-/** Decodes the cache locations in a digest. */
-export function decodeCacheLocations(
-  ids: readonly string[],
-  { placed }: DigestLoad,
-): CacheLocation[] {
-  const locations: CacheLocation[] = []
-  for (const [key, index] of placed) {
-    const id = ids[index]
-    if (id !== undefined) locations.push([key, id])
-  }
-  return locations
-}
--- a/packages/router/src/node/peers/peerDigest.ts
+++ b/packages/router/src/node/peers/peerDigest.ts
@@ -20,8 +20,13 @@
   stopping: v.boolean(),
   /** For each target with load: its index in the list of ids, requests in flight, pending prompt tokens in hundreds. */
   work: v.array(v.number()),
-  /** New cache locations: affinity keys and the indexes of their targets in the list of ids. */
-  placed: v.array(v.pipe(v.tuple([v.string(), v.number()]), v.readonly())),
+  /** New cache locations: affinity keys and target ids. An earlier release sent indexes, which are ignored. */
+  placed: v.array(
+    v.pipe(
+      v.tuple([v.string(), v.union([v.string(), v.number()])]),
+      v.readonly(),
+    ),
+  ),
   /** Restores of the log that the router has seen; null if unknown. */
   logRestores: v.optional(v.nullable(v.number()), null),
 })
