Fetch prompts only from holders that are believed to run

Cause: the first known holder on the list was the source of a fetch, also right after it had crashed; a holder that was removed from the list without notice still serves for the drain time and was no source.

Change: unreachable and stalled holders are skipped, the next one is used, and targets that left without notice stay sources for the drain time.

--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -89,6 +89,8 @@
       health.recordOutcome(target, TargetOutcome.Failure, now())
     if (handling.avoidMs > 0) health.avoid(target.id, handling.avoidMs, now())
     if (handling.retiresConnections) client.retireConnections(target)
+    if (failure.cause === TargetFailureCause.Unreachable)
+      health.recordUnreachable(target.id, now())
     progress.verdict = combineVerdicts(progress.verdict, failure.verdict)
     progress.lastCause = failure.cause
     if (failure.verdict !== Verdict.NotRun) progress.possibleRuns += 1
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -56,7 +56,10 @@
   // Assigned below: components that broadcast to peers are created before the peers.
   const peers: { current?: Peers } = {}
   const configurationStore = createConfigurationStore()
-  const targetList = createTargetList(constants.REJOIN_WINDOW_MS)
+  const targetList = createTargetList(
+    constants.REJOIN_WINDOW_MS,
+    () => settings.bounds.drainMs,
+  )
   const load = createFleetLoad(() => {
     const rounds = Math.ceil(
       (peers.current?.routerCount() ?? 1) / constants.DIGEST_FANOUT,
--- a/packages/router/src/node/health/createTargetHealth.ts
+++ b/packages/router/src/node/health/createTargetHealth.ts
@@ -4,7 +4,7 @@
   type ServiceHealth,
 } from '@auburnbay/core/health/createServiceHealth'
 import type { HealthOptions } from '@auburnbay/core/health/healthOptions'
-import type { TargetOutcome } from '@auburnbay/core/health/targetOutcome'
+import { TargetOutcome } from '@auburnbay/core/health/targetOutcome'
 import type { Target } from '../targets/target.js'
 
 /** Outlier ejection of targets by the outcomes of their requests. */
@@ -18,8 +18,15 @@
   recordOutcome(target: Target, outcome: TargetOutcome, nowMs: number): void
   /** Excludes a target for `forMs` milliseconds, unless no other is left. */
   avoid(targetId: string, forMs: number, nowMs: number): void
+  /** Records that a target did not accept a connection. */
+  recordUnreachable(targetId: string, nowMs: number): void
+  /** Whether a target did not accept the last connection, less than {@link UNREACHABLE_MEMORY_MS} ago. */
+  isUnreachable(targetId: string, nowMs: number): boolean
 }
 
+/** Milliseconds after which a target that was unreachable may be reachable again. */
+export const UNREACHABLE_MEMORY_MS = 5_000
+
 /** Creates target health in which every target is eligible. */
 export function createTargetHealth(
   options: HealthOptions,
@@ -28,6 +35,7 @@
   const services = new Map<string, ServiceHealth>()
   const known = new Map<string, readonly Target[]>()
   const avoidedUntilMs = new Map<string, number>()
+  const unreachableAtMs = new Map<string, number>()
 
   function healthOf(
     service: string,
@@ -59,6 +67,7 @@
       return available.length > 0 ? available : targets
     },
     recordOutcome(target, outcome, nowMs) {
+      if (outcome === TargetOutcome.Success) unreachableAtMs.delete(target.id)
       const health = services.get(target.service)
       if (!health) return
       const isProbe = health.recordStart(target.id, nowMs)
@@ -68,5 +77,15 @@
     avoid(targetId, forMs, nowMs) {
       avoidedUntilMs.set(targetId, nowMs + forMs)
     },
+    recordUnreachable(targetId, nowMs) {
+      unreachableAtMs.set(targetId, nowMs)
+    },
+    isUnreachable(targetId, nowMs) {
+      const atMs = unreachableAtMs.get(targetId)
+      if (atMs === undefined) return false
+      if (nowMs - atMs < UNREACHABLE_MEMORY_MS) return true
+      unreachableAtMs.delete(targetId)
+      return false
+    },
   }
 }
--- a/packages/router/src/node/routing/createTargetSelector.ts
+++ b/packages/router/src/node/routing/createTargetSelector.ts
@@ -30,7 +30,7 @@
 export interface TargetSelector {
   /** Returns the target for a call's next send; undefined if there is none. */
   select(call: Call, tried: ReadonlySet<string>): Target | undefined
-  /** Returns a target that caches the call's prompt, if `selected` does not. */
+  /** Returns a running target that caches the call's prompt, if `selected` does not. */
   findCacheSource(call: Call, selected: Target): Target | undefined
   /** Returns the prompt tokens of a call that a target must prefill at least. */
   pendingPromptTokens(call: Call, target: Target): number
@@ -95,8 +95,11 @@
       if (key === undefined || !sharesCache(call.service)) return undefined
       const cachedOn = cacheLocations.cachedOn(key)
       if (cachedOn.includes(selected.id)) return undefined
+      const nowMs = now()
       for (const id of cachedOn) {
-        const source = targetList.find(id)
+        if (health.isUnreachable(id, nowMs)) continue
+        if (stallDetector.isStalled(id, nowMs)) continue
+        const source = targetList.findRunning(id, nowMs)
         if (source) return source
       }
       return undefined
--- a/packages/router/src/node/targets/__tests__/createTargetList.test.ts
+++ b/packages/router/src/node/targets/__tests__/createTargetList.test.ts
@@ -4,6 +4,7 @@
 import type { Target } from '../target.js'
 
 const REJOIN_MS = 2_000
+const DRAIN_MS = 2_000
 const NOW_MS = 10_002
 
 function target(id: string, fields: Partial<Target> = {}): Target {
@@ -23,7 +24,7 @@
 
 describe('createTargetList', () => {
   it('excludes a draining target at once', () => {
-    const list = createTargetList(REJOIN_MS)
+    const list = createTargetList(REJOIN_MS, () => DRAIN_MS)
     list.set(target('a'))
     list.set(target('b'))
     list.set(target('a', { draining: true }))
@@ -32,14 +33,14 @@
   })
 
   it('drops a target whose entry was removed', () => {
-    const list = createTargetList(REJOIN_MS)
+    const list = createTargetList(REJOIN_MS, () => DRAIN_MS)
     list.set(target('a'))
     list.remove('a', 1)
     assert.deepEqual(list.ready('s', NOW_MS), [])
   })
 
   it('keeps targets after an outage until the rejoin window ends', () => {
-    const list = createTargetList(REJOIN_MS)
+    const list = createTargetList(REJOIN_MS, () => DRAIN_MS)
     for (const id of ['a', 'b']) list.set(target(id))
     list.startRejoinWindow(10_000)
     for (const id of ['a', 'b']) list.remove(id, 10_001)
@@ -51,7 +52,7 @@
   })
 
   it('excludes a draining target also within the rejoin window', () => {
-    const list = createTargetList(REJOIN_MS)
+    const list = createTargetList(REJOIN_MS, () => DRAIN_MS)
     list.set(target('a'))
     list.startRejoinWindow(0)
     list.set(target('a', { draining: true }))
@@ -59,8 +60,8 @@
   })
 
   it('has the same fingerprint for the same targets in any order', () => {
-    const first = createTargetList(REJOIN_MS)
-    const second = createTargetList(REJOIN_MS)
+    const first = createTargetList(REJOIN_MS, () => DRAIN_MS)
+    const second = createTargetList(REJOIN_MS, () => DRAIN_MS)
     for (const id of ['a', 'b']) first.set(target(id))
     for (const id of ['b', 'c', 'a']) second.set(target(id))
     assert.notEqual(first.fingerprint(), second.fingerprint())
--- a/packages/router/src/node/targets/__tests__/followTargets.test.ts
+++ b/packages/router/src/node/targets/__tests__/followTargets.test.ts
@@ -32,7 +32,7 @@
           : ok({ entries: changes.splice(0), nextOffset: from }),
       ),
   }
-  const targetList = createTargetList(2_000)
+  const targetList = createTargetList(2_000, () => 2_000)
   const follower = followTargets({
     source,
     targetList,
--- a/packages/router/src/node/targets/createTargetList.ts
+++ b/packages/router/src/node/targets/createTargetList.ts
@@ -1,7 +1,11 @@
 import { isDeepStrictEqual } from 'node:util'
 import { hash32 } from '@auburnbay/core/hash/hash32'
+import { LRUCache } from 'lru-cache'
 import type { Target } from './target.js'
 
+/** Removed targets that are remembered. */
+const MAX_LEAVING = 100
+
 function fingerprintOf(targets: Iterable<Target>): number {
   const lines: string[] = []
   for (const { id, service, host, port, draining } of targets)
@@ -15,6 +19,8 @@
   ready(service: string, nowMs: number): readonly Target[]
   /** Returns a listed target, draining or not. */
   find(id: string): Target | undefined
+  /** Returns a target that still runs as far as the list shows: listed, or removed without notice less than the drain time ago. */
+  findRunning(id: string, nowMs: number): Target | undefined
   all(): Iterable<Target>
   /** Returns the sorted ids of all targets; lists with the same fingerprint have the same ids. */
   ids(): readonly string[]
@@ -29,10 +35,18 @@
 /**
  * Creates an empty target list.
  * @param rejoinMs Milliseconds after an outage of the source within which lost entries return.
+ * @param drainMs Milliseconds for which a target serves after it was removed without notice.
  */
-export function createTargetList(rejoinMs: number): TargetList {
+export function createTargetList(
+  rejoinMs: number,
+  drainMs: () => number,
+): TargetList {
   const targets = new Map<string, Target>()
   const missing = new Set<string>()
+  /** Targets that left without having announced it, with the time of their removal. */
+  const leaving = new LRUCache<string, { target: Target; removedAtMs: number }>(
+    { max: MAX_LEAVING },
+  )
   let byService: Map<string, Target[]> | undefined
   let fingerprint: number | undefined
   let ids: readonly string[] | undefined
@@ -55,7 +69,10 @@
     ids = undefined
   }
 
-  function drop(id: string): void {
+  function drop(id: string, nowMs: number): void {
+    const target = targets.get(id)
+    if (target && !target.draining)
+      leaving.set(id, { target, removedAtMs: nowMs })
     missing.delete(id)
     targets.delete(id)
     invalidateIndexes()
@@ -72,13 +89,13 @@
   function remove(id: string, nowMs: number): void {
     if (!targets.has(id)) return
     if (nowMs < rejoinUntilMs) missing.add(id)
-    else drop(id)
+    else drop(id, nowMs)
   }
 
   /** Removes targets whose entry did not return within the rejoin window. */
   function dropMissing(nowMs: number): void {
     if (missing.size === 0 || nowMs < rejoinUntilMs) return
-    for (const id of missing) drop(id)
+    for (const id of missing) drop(id, nowMs)
   }
 
   return {
@@ -88,6 +105,14 @@
       return byService.get(service) ?? []
     },
     find: (id) => targets.get(id),
+    findRunning(id, nowMs) {
+      const listed = targets.get(id)
+      if (listed) return listed
+      const left = leaving.get(id)
+      return left && nowMs - left.removedAtMs < drainMs()
+        ? left.target
+        : undefined
+    },
     all: () => targets.values(),
     ids() {
       ids ??= [...targets.keys()].sort()
