Say why each request was placed on its target

Change: the selector returns a placement: target, reason, source of the fetch and the tokens that the target is expected to prefill. request-ended lines and two counters carry it. A prompt that is fetched counts as prefilled only with its own part in the load.

--- a/packages/measure/src/node/placing/simulatePlacing.ts
+++ b/packages/measure/src/node/placing/simulatePlacing.ts
@@ -107,7 +107,7 @@
     const durationMs = random.exponential(trace.requestMs)
     if (!state) return
     const { load, cacheLocations } = state
-    const target = selectTarget({
+    const selected = selectTarget({
       targets,
       load: (id) => load.total(id, queue.nowMs),
       affinity: key,
@@ -115,8 +115,8 @@
       cachedOn: cacheLocations.cachedOn(key),
       tieBreaker: String(result.requests),
     })
-    if (!target) return
-    const { id } = target
+    if (!selected) return
+    const { id } = selected.target
     const cacheEntry = `${key} ${id}`
     result.requests += 1
     if (cachedPrompts.has(cacheEntry)) result.cacheHits += 1
--- a/packages/router/src/node/callers/callProgress.ts
+++ b/packages/router/src/node/callers/callProgress.ts
@@ -1,6 +1,7 @@
 import type { RequestFailure } from '@auburnbay/core/verdict/requestFailure'
 import { Verdict } from '@auburnbay/core/verdict/verdict'
 import { RequestKind } from '../configuration/requestKind.js'
+import type { Placement } from '../routing/placement.js'
 import { TargetFailureCause } from '../targets/targetFailure.js'
 import type { Call } from './call.js'
 import type { ResponseRelay } from './createResponseRelay.js'
@@ -18,6 +19,8 @@
   sends: number
   verdict: Verdict
   lastCause?: TargetFailureCause
+  /** Placement of the last send. */
+  placement?: Placement
 }
 
 /** Creates the progress of a call that has not been sent yet. */
--- a/packages/router/src/node/callers/createCallerServer.ts
+++ b/packages/router/src/node/callers/createCallerServer.ts
@@ -104,7 +104,7 @@
       deadlineAtMs: startedAtMs + limitMs,
     }
     const outcome = await dispatcher.dispatch(call, res)
-    const { failure, sends, target } = outcome
+    const { failure, sends, placement } = outcome
     clearTimeout(timer)
     const callerGone = res.closed && !res.writableFinished
     if (failure && !callerGone) sendFailure(res, failure)
@@ -122,7 +122,10 @@
       customer: admitted.customer?.name,
       version: configurationStore.version,
       targetsAgeMs: Math.round(options.targetsAgeMs()),
-      target,
+      target: placement?.target.id,
+      placed: placement?.reason,
+      prefillTokens: placement?.prefillTokens,
+      fetchFrom: placement?.fetchFrom?.id,
       sends,
       status,
       callerGone,
--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -12,6 +12,7 @@
 import type { RouterMetrics } from '../metrics/routerMetrics.js'
 import type { FleetLoad } from '../routing/createFleetLoad.js'
 import type { TargetSelector } from '../routing/createTargetSelector.js'
+import type { Placement } from '../routing/placement.js'
 import type {
   TargetResponse,
   TargetClient,
@@ -161,17 +162,18 @@
 
   async function sendTo(
     call: Call,
-    target: Target,
+    placement: Placement,
     progress: CallProgress,
   ): Promise<NextStep> {
+    const { target, fetchFrom, prefillTokens } = placement
+    progress.placement = placement
     progress.triedTargets.add(target.id)
     progress.sends += 1
     const { customer, route, signal } = call
     const lastEventId = progress.relay.lastEventId
     const sentAtMs = now()
-    const fetchFrom = selector.findCacheSource(call, target)
-    const promptTokens = selector.pendingPromptTokens(call, target)
-    load.recordStart(target.id, promptTokens)
+    load.recordStart(target.id, prefillTokens)
+    metrics.recordPlacement(call.service, placement.reason, prefillTokens)
     selector.recordSent(call, target)
     stallDetector.recordSent(target.id, sentAtMs)
     try {
@@ -191,7 +193,7 @@
           ...(lastEventId !== undefined && { lastEventId }),
         },
       })
-      load.releasePromptTokens(target.id, promptTokens)
+      load.releasePromptTokens(target.id, prefillTokens)
       if (result.isErr()) {
         if (result.error.verdict === Verdict.NotRun)
           selector.recordNotRun(call, target)
@@ -225,17 +227,16 @@
 
     while (progress.sends < MAX_SENDS && !call.signal.aborted) {
       if (call.deadlineAtMs - now() < MIN_REMAINING_MS) break
-      const target = selector.select(call, progress.triedTargets)
-      if (!target) break
-      const next = await sendTo(call, target, progress)
+      const placement = selector.select(call, progress.triedTargets)
+      if (!placement) break
+      const next = await sendTo(call, placement, progress)
       if (next === NextStep.Done) break
       if (next === NextStep.Retry && !tryChargeRetry()) break
     }
-    const { sends } = progress
-    const target = [...progress.triedTargets].at(-1)
+    const { sends, placement } = progress
     return {
       sends,
-      ...(target !== undefined && { target }),
+      ...(placement && { placement }),
       ...(!res.writableEnded && {
         failure: resolveFailure(call, progress, now()),
       }),
--- a/packages/router/src/node/metrics/createRouterMetrics.ts
+++ b/packages/router/src/node/metrics/createRouterMetrics.ts
@@ -20,6 +20,18 @@
     labelNames: ['service', 'cause'],
     registers,
   })
+  const placements = new Counter({
+    name: 'auburnbay_placements_total',
+    help: 'Sends by service and reason of the placement.',
+    labelNames: ['service', 'reason'],
+    registers,
+  })
+  const prefillTokens = new Counter({
+    name: 'auburnbay_prefill_tokens_total',
+    help: 'Prompt tokens that targets were expected to prefill, by service and reason of the placement.',
+    labelNames: ['service', 'reason'],
+    registers,
+  })
   const durations = new Histogram({
     name: 'auburnbay_request_seconds',
     help: 'Time from a whole request to its whole answer.',
@@ -45,6 +57,10 @@
     recordResend(service, cause) {
       resends.inc({ service, cause })
     },
+    recordPlacement(service, reason, tokens) {
+      placements.inc({ service, reason })
+      prefillTokens.inc({ service, reason }, tokens)
+    },
     render: () => registry.metrics(),
   }
 }
--- a/packages/router/src/node/metrics/routerMetrics.ts
+++ b/packages/router/src/node/metrics/routerMetrics.ts
@@ -6,6 +6,8 @@
   recordResponseHead(service: string, seconds: number): void
   /** Records a send to a further target. */
   recordResend(service: string, cause: string): void
+  /** Records why a send was placed on its target and the prompt tokens to prefill there. */
+  recordPlacement(service: string, reason: string, prefillTokens: number): void
   /** Returns all metrics in the Prometheus text format. */
   render(): Promise<string>
 }
--- a/packages/router/src/node/routing/__tests__/selectTarget.test.ts
+++ b/packages/router/src/node/routing/__tests__/selectTarget.test.ts
@@ -37,7 +37,7 @@
     }
     const first = selectTarget({ ...options, tieBreaker: '1' })
     const second = selectTarget({ ...options, tieBreaker: '2' })
-    assert.equal(first?.id, second?.id)
+    assert.equal(first?.target.id, second?.target.id)
   })
 
   it('never exceeds the load bound', () => {
@@ -49,7 +49,7 @@
         (loads, affinity, hasAffinity) => {
           const list = targets(loads.length)
           const requests = (id: string) => loads[Number(id.slice(1))] ?? 0
-          const target = selectTarget({
+          const selected = selectTarget({
             targets: list,
             load: loadOf(requests),
             tieBreaker: 'x',
@@ -57,10 +57,10 @@
             cachedOn: [],
             ...(hasAffinity && { affinity }),
           })
-          assert.ok(target)
+          assert.ok(selected)
           const mean = loads.reduce((a, b) => a + b, 0) / loads.length
           const bound = LOAD_FACTOR * mean + LOAD_MARGIN
-          assert.ok(requests(target.id) + 1 <= bound)
+          assert.ok(requests(selected.target.id) + 1 <= bound)
         },
       ),
       { seed: 9, numRuns: 500 },
@@ -80,7 +80,7 @@
       tieBreaker: '1',
       load: loadOf(() => 0),
     })
-    const requests = (id: string) => (id === first?.id ? 50 : 1)
+    const requests = (id: string) => (id === first?.target.id ? 50 : 1)
     const next = selectTarget({
       ...options,
       tieBreaker: '1',
@@ -91,8 +91,8 @@
       tieBreaker: '2',
       load: loadOf(requests),
     })
-    assert.notEqual(next?.id, first?.id)
-    assert.equal(next?.id, other?.id)
+    assert.notEqual(next?.target.id, first?.target.id)
+    assert.equal(next?.target.id, other?.target.id)
   })
 
   it('selects the target that caches a prompt after others join', () => {
@@ -109,9 +109,12 @@
         ...before,
         targets: targets(8),
         promptTokens: 800,
-        cachedOn: [first?.id ?? ''],
+        cachedOn: [first?.target.id ?? ''],
       }
-      assert.equal(selectTarget({ ...after, ...key })?.id, first?.id)
+      assert.equal(
+        selectTarget({ ...after, ...key })?.target.id,
+        first?.target.id,
+      )
     }
   })
 
@@ -127,17 +130,23 @@
     const first = selectTarget({ ...options, load: loadOf(() => 1) })
     const load = (id: string) => ({
       requests: 1,
-      pendingPromptTokens: id === first?.id ? 12_000 : 0,
+      pendingPromptTokens: id === first?.target.id ? 12_000 : 0,
     })
-    assert.notEqual(selectTarget({ ...options, load })?.id, first?.id)
+    assert.notEqual(
+      selectTarget({ ...options, load })?.target.id,
+      first?.target.id,
+    )
     const long = { ...options, promptTokens: 12_000 }
     const longFirst = selectTarget({ ...long, load: loadOf(() => 1) })
-    assert.equal(selectTarget({ ...long, load })?.id, longFirst?.id)
+    assert.equal(
+      selectTarget({ ...long, load })?.target.id,
+      longFirst?.target.id,
+    )
   })
 
   it('does not select a cache target that exceeds the load bound', () => {
     const requests = (id: string) => (id === 't0' ? 40 : 1)
-    const target = selectTarget({
+    const selected = selectTarget({
       targets: targets(6),
       load: loadOf(requests),
       affinity: 'prompt',
@@ -145,7 +154,7 @@
       cachedOn: ['t0'],
       tieBreaker: '1',
     })
-    assert.notEqual(target?.id, 't0')
+    assert.notEqual(selected?.target.id, 't0')
   })
 
   it('spreads requests without affinity over equal targets', () => {
@@ -159,7 +168,7 @@
           tieBreaker: String(i),
           promptTokens: 800,
           cachedOn: [],
-        })?.id,
+        })?.target.id,
       )
     assert.equal(seen.size, 3)
   })
--- a/packages/router/src/node/routing/createTargetSelector.ts
+++ b/packages/router/src/node/routing/createTargetSelector.ts
@@ -5,10 +5,12 @@
 import type { TargetList } from '../targets/createTargetList.js'
 import type { Target } from '../targets/target.js'
 import { affinityKey } from './affinityKey.js'
-import { selectTarget } from './selectTarget.js'
-import type { FleetLoad } from './createFleetLoad.js'
 import type { CacheLocations } from './createCacheLocations.js'
+import type { FleetLoad } from './createFleetLoad.js'
 import { createTargetLossRates } from './createTargetLossRates.js'
+import type { Placement } from './placement.js'
+import { PlacementReason } from './placementReason.js'
+import { selectTarget } from './selectTarget.js'
 import { wantedHolders } from './wantedHolders.js'
 
 /** Options for {@link createTargetSelector}. */
@@ -28,12 +30,8 @@
 
 /** Selects the targets of calls. */
 export interface TargetSelector {
-  /** Returns the target for a call's next send; undefined if there is none. */
-  select(call: Call, tried: ReadonlySet<string>): Target | undefined
-  /** Returns a running target that caches the call's prompt, if `selected` does not. */
-  findCacheSource(call: Call, selected: Target): Target | undefined
-  /** Returns the prompt tokens of a call that a target must prefill at least. */
-  pendingPromptTokens(call: Call, target: Target): number
+  /** Returns the placement of a call's next send; undefined if there is no target. */
+  select(call: Call, tried: ReadonlySet<string>): Placement | undefined
   /** Records that a call is sent to a target. */
   recordSent(call: Call, target: Target): void
   /** Records that a target did not run a call. */
@@ -58,7 +56,7 @@
   const { sharesCache, now } = options
   const lossRates = createTargetLossRates()
 
-  function holdersOf(key: string, service: string): number {
+  function wantedHoldersOf(key: string, service: string): number {
     // A further holder pays off only if it fetches the prompt.
     if (!sharesCache(service)) return 1
     return wantedHolders({
@@ -67,50 +65,69 @@
     })
   }
 
+  /** Returns a holder to fetch the prompt from; one that has crashed would only delay the request. */
+  function findSource(
+    service: string,
+    cachedOn: readonly string[],
+    nowMs: number,
+  ): Target | undefined {
+    if (!sharesCache(service)) return undefined
+    for (const id of cachedOn) {
+      if (health.isUnreachable(id, nowMs)) continue
+      if (stallDetector.isStalled(id, nowMs)) continue
+      const source = targetList.findRunning(id, nowMs)
+      if (source) return source
+    }
+    return undefined
+  }
+
+  /** Returns what a holder must prefill: the part that belongs to the request alone. */
+  const ownTokens = ({ request }: Call): number =>
+    request.promptParts.at(-1)?.tokens ?? 0
+
   return {
     select(call, tried) {
+      const { service, request } = call
       const nowMs = now()
-      const ready = targetList.ready(call.service, nowMs)
-      lossRates.observe(call.service, ready, nowMs)
-      const eligible = health.eligibleTargets(call.service, ready, nowMs)
-      const available = eligible.filter(
-        ({ id }) => !tried.has(id) && !stallDetector.isStalled(id, nowMs),
-      )
+      const ready = targetList.ready(service, nowMs)
+      lossRates.observe(service, ready, nowMs)
       const untried = ready.filter(({ id }) => !tried.has(id))
+      const available = health
+        .eligibleTargets(service, ready, nowMs)
+        .filter(
+          ({ id }) => !tried.has(id) && !stallDetector.isStalled(id, nowMs),
+        )
       const key = keyOf(call)
-      return selectTarget({
+      const promptTokens = tokensOf(request.promptParts)
+      const cachedOn = key === undefined ? [] : cacheLocations.cachedOn(key)
+      const selected = selectTarget({
         targets: available.length > 0 ? available : untried,
         load: (id) => load.total(id, nowMs),
-        promptTokens: tokensOf(call.request.promptParts),
-        tieBreaker: call.request.attemptId,
-        cachedOn: key === undefined ? [] : cacheLocations.cachedOn(key),
+        promptTokens,
+        tieBreaker: request.attemptId,
+        cachedOn,
         ...(key !== undefined && {
           affinity: key,
-          wantedHolders: holdersOf(key, call.service),
+          wantedHolders: wantedHoldersOf(key, service),
         }),
       })
-    },
-    findCacheSource(call, selected) {
-      const key = keyOf(call)
-      if (key === undefined || !sharesCache(call.service)) return undefined
-      const cachedOn = cacheLocations.cachedOn(key)
-      if (cachedOn.includes(selected.id)) return undefined
-      const nowMs = now()
-      for (const id of cachedOn) {
-        if (health.isUnreachable(id, nowMs)) continue
-        if (stallDetector.isStalled(id, nowMs)) continue
-        const source = targetList.findRunning(id, nowMs)
-        if (source) return source
+      if (!selected) return undefined
+      if (selected.reason === PlacementReason.NoPrompt)
+        return { ...selected, prefillTokens: 0 }
+      if (cachedOn.includes(selected.target.id))
+        return { ...selected, prefillTokens: ownTokens(call) }
+      const isListed = ready.some(({ id }) => cachedOn.includes(id))
+      const reason =
+        selected.reason === PlacementReason.HolderLost && isListed
+          ? PlacementReason.HolderExcluded
+          : selected.reason
+      const fetchFrom = findSource(service, cachedOn, nowMs)
+      return {
+        target: selected.target,
+        reason,
+        prefillTokens: fetchFrom ? ownTokens(call) : promptTokens,
+        ...(fetchFrom && { fetchFrom }),
       }
-      return undefined
-    },
-    pendingPromptTokens(call, target) {
-      const key = keyOf(call)
-      if (key === undefined) return 0
-      const parts = call.request.promptParts
-      if (cacheLocations.cachedOn(key).includes(target.id))
-        return parts.at(-1)?.tokens ?? 0
-      return tokensOf(parts)
     },
     recordSent(call, target) {
       const key = keyOf(call)
--- a/packages/router/src/node/routing/selectTarget.ts
+++ b/packages/router/src/node/routing/selectTarget.ts
@@ -1,5 +1,6 @@
 import { rendezvousOrder } from '@auburnbay/core/routing/rendezvousOrder'
 import type { Target } from '../targets/target.js'
+import { PlacementReason } from './placementReason.js'
 import type { TargetLoad } from './targetLoad.js'
 
 /** Options for {@link selectTarget}. */
@@ -13,12 +14,21 @@
   readonly promptTokens: number
   /** Ids of the targets that cache the prompt, the preferred first. */
   readonly cachedOn: readonly string[]
-  /** Targets that should cache the prompt; 1 by default. A further one fetches it from a holder. */
+  /**
+   * Targets that should cache the prompt; a further one fetches it from a holder.
+   * @default 1
+   */
   readonly wantedHolders?: number
   /** Key that orders equally loaded targets, different for each request. */
   readonly tieBreaker: string
 }
 
+/** A target and why it was selected. */
+export interface SelectedTarget {
+  readonly target: Target
+  readonly reason: PlacementReason
+}
+
 /** Multiple of the mean load up to which affinity may select a target; below the bound of 2. */
 const AFFINITY_LOAD_FACTOR = 1.7
 /** Requests allowed on top of it, so that small loads do not scatter prompts. */
@@ -77,21 +87,11 @@
   return targets.filter(({ id }) => load(id).requests + 1 <= bound)
 }
 
-/** Selects the target of a request; undefined if there are no targets. */
-export function selectTarget(options: SelectTargetOptions): Target | undefined {
-  const { targets, affinity, cachedOn } = options
-  if (affinity === undefined) return findLeastLoaded(options, targets)
-  const available = withinBound(options)
-  const cacheTargets = cachedOn.flatMap((id) =>
-    available.filter((target) => target.id === id),
-  )
-  const holders = targets.filter(({ id }) => cachedOn.includes(id)).length
-  if (holders > 0 && holders < (options.wantedHolders ?? 1)) {
-    const others = available.filter(({ id }) => !cachedOn.includes(id))
-    const [nextHolder] = orderBy(affinity, others)
-    if (nextHolder) return nextHolder
-  }
-  if (cacheTargets.length > 0) return findShortestPrefill(options, cacheTargets)
+function findByAffinity(
+  options: SelectTargetOptions,
+  affinity: string,
+  available: readonly Target[],
+): Target | undefined {
   // With several candidates two routers may send the same prompt to two targets,
   // and both prefill it. Only a short prompt is cheap enough for that.
   const isShort = options.promptTokens <= SHORT_PROMPT_TOKENS
@@ -101,6 +101,50 @@
   )
   return (
     findShortestPrefill(options, candidates) ??
-    findLeastLoaded(options, targets)
+    findLeastLoaded(options, options.targets)
+  )
+}
+
+/**
+ * Selects the target of a request; undefined if there are no targets. Answers
+ * loads in which prompts return: it keeps them on the targets that cache them,
+ * within a bound on each target's load.
+ */
+export function selectTarget(
+  options: SelectTargetOptions,
+): SelectedTarget | undefined {
+  const { targets, affinity, cachedOn } = options
+  const selected = (
+    target: Target | undefined,
+    reason: PlacementReason,
+  ): SelectedTarget | undefined => target && { target, reason }
+
+  if (affinity === undefined)
+    return selected(findLeastLoaded(options, targets), PlacementReason.NoPrompt)
+  const available = withinBound(options)
+  const holders = cachedOn.flatMap((id) =>
+    targets.filter((target) => target.id === id),
+  )
+  if (holders.length === 0) {
+    const reason =
+      cachedOn.length === 0
+        ? PlacementReason.NewPrompt
+        : PlacementReason.HolderLost
+    return selected(findByAffinity(options, affinity, available), reason)
+  }
+  const others = available.filter((target) => !holders.includes(target))
+  if (holders.length < (options.wantedHolders ?? 1)) {
+    const [next] = orderBy(affinity, others)
+    if (next) return selected(next, PlacementReason.FurtherHolder)
+  }
+  const usable = holders.filter((target) => available.includes(target))
+  if (usable.length > 0)
+    return selected(
+      findShortestPrefill(options, usable),
+      PlacementReason.Holder,
+    )
+  return selected(
+    findByAffinity(options, affinity, available),
+    PlacementReason.HolderOverBound,
   )
 }
