Try less often to reach a store that a peer tries for all

A router without a configuration answered with Retry-After 0.5 s whatever it had seen.

Change: routers behind a live peer with a lower name try once a second, the directory backs off to 1.5 s; Retry-After follows the observed outage and is spread over callers.

--- a/packages/router/src/node/callers/createCallerServer.ts
+++ b/packages/router/src/node/callers/createCallerServer.ts
@@ -18,6 +18,7 @@
 import type { Dispatcher } from './createDispatcher.js'
 import { failures } from './failures.js'
 import { sendFailure } from './sendFailure.js'
+import { startingRetryAfterS } from './startingRetryAfterS.js'
 
 /** Maximum size of request headers in bytes, above the limit of any configuration. */
 const MAX_HEADER_BYTES = 64 * 1024
@@ -38,6 +39,8 @@
   readonly dispatcher: Dispatcher
   readonly log: DecisionLog
   readonly metrics: RouterMetrics
+  /** Milliseconds since the source of configurations became unavailable; 0 while it is available. */
+  readonly sourceOutageMs: () => number
   /** Upper bound on the staleness of the target list, in milliseconds. */
   readonly targetsAgeMs: () => number
   /** Monotonic clock, in milliseconds. */
@@ -153,7 +156,13 @@
     const active = configurationStore.current
     const admitted = active
       ? admitRequest(req, request, active)
-      : err(failures.starting)
+      : err({
+          ...failures.starting,
+          retryAfterS: startingRetryAfterS(
+            options.sourceOutageMs(),
+            request.attemptId,
+          ),
+        })
     if (refuseRequests) {
       refuse(res, request.attemptId, failures.stopping)
       return
--- a/packages/router/src/node/callers/failures.ts
+++ b/packages/router/src/node/callers/failures.ts
@@ -4,8 +4,6 @@
 
 /** Retry-After while this router stops: by then another router gets the request. */
 const OTHER_ROUTER_RETRY_AFTER_S = 0.1
-/** Retry-After while this router starts: the time to load the configuration. */
-const STARTING_RETRY_AFTER_S = 0.5
 /** Retry-After without a target: the time to replace a full or removed one. */
 const OTHER_TARGET_RETRY_AFTER_S = 0.5
 
@@ -31,7 +29,6 @@
     FailureCode.Starting,
     503,
     'no configuration is known yet; try again',
-    STARTING_RETRY_AFTER_S,
   ),
   stopping: createNotRunFailure(
     FailureCode.Stopping,
--- a/packages/router/src/node/configuration/followConfigurations.ts
+++ b/packages/router/src/node/configuration/followConfigurations.ts
@@ -14,6 +14,8 @@
   readonly logRestores: LogRestores
   /** Whether a peer has polled the source recently enough for this router. */
   readonly hasFreshReader: () => boolean
+  /** Whether a peer retries an unavailable source for this router. */
+  readonly hasRetryingPeer: () => boolean
   /** Activates a configuration if it is newer; `from` names where it came from. */
   readonly applyIfNewer: (
     configuration: RouterConfiguration,
@@ -38,6 +40,7 @@
     pollIntervalMs: 0,
     now,
     hasFreshReader,
+    hasRetryingPeer: options.hasRetryingPeer,
     onListing: (values) => {
       for (const configuration of values.values())
         applyIfNewer(configuration, 'listing')
--- a/packages/router/src/node/constants.ts
+++ b/packages/router/src/node/constants.ts
@@ -12,8 +12,10 @@
 export const PEER_PROBE_INTERVAL_MS = 1_000
 /** Milliseconds without a digest or a directory listing after which a peer is removed; a restart takes seconds. */
 export const PEER_EXPIRY_MS = 60_000
-/** Milliseconds between two attempts to register in the router directory. */
+/** Milliseconds between the first two attempts to register in the router directory. */
 export const DIRECTORY_RETRY_MS = 500
+/** Longest time between two attempts, in milliseconds; below the time in which a peer counts as lost. */
+export const MAX_DIRECTORY_RETRY_MS = 1_500
 /** Milliseconds between two polls of the router directory, for each 16 routers listed. */
 export const DIRECTORY_POLL_MS = 15_000
 /** Milliseconds after an outage of the target list within which lost entries return. */
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -97,6 +97,9 @@
     source: ports.configurations,
     logRestores: ports.logRestores,
     hasFreshReader: () => peers.current?.hasFreshConfigurationReader() ?? false,
+    hasRetryingPeer: () =>
+      configurationStore.current !== undefined &&
+      (peers.current?.hasEarlierPeer() ?? false),
     applyIfNewer: applyConfiguration,
     now,
     log,
@@ -108,6 +111,8 @@
     pollIntervalMs: settings.bounds.drainMs / constants.POLLS_PER_DRAIN,
     lastFleetOutageAtMs: () => peers.current?.lastFleetOutageAtMs() ?? now(),
     hasFreshReader: () => peers.current?.hasFreshTargetReader() ?? false,
+    hasRetryingPeer: () =>
+      targets.isLoaded() && (peers.current?.hasEarlierPeer() ?? false),
     onChange: () => {
       peers.current?.broadcast()
     },
@@ -193,6 +198,7 @@
     log,
     metrics,
     targetsAgeMs: () => targets.ageMs(),
+    sourceOutageMs: () => configurations.outageMs(),
     now,
   })
 
--- a/packages/router/src/node/peers/createPeers.ts
+++ b/packages/router/src/node/peers/createPeers.ts
@@ -43,6 +43,8 @@
   hasFreshConfigurationReader(): boolean
   /** Whether peers poll the target list for this router. */
   hasFreshTargetReader(): boolean
+  /** Whether a live peer precedes this router in the order in which routers become readers. */
+  hasEarlierPeer(): boolean
   /** Last time at which no peer had polled the target list within SHORT_OUTAGE_MS, in milliseconds. */
   lastFleetOutageAtMs(): number
   /** Sends a digest to the peers that are due, at once. */
@@ -214,6 +216,8 @@
     hasFreshConfigurationReader: () =>
       hasReader((last) => last.configurationReadMs),
     hasFreshTargetReader,
+    hasEarlierPeer: () =>
+      table.livePeers(now()).some((peer) => peer.router < router),
     lastFleetOutageAtMs: () => lastFleetOutageAtMs,
     broadcast,
     scheduleBroadcast,
--- a/packages/router/src/node/peers/joinDirectory.ts
+++ b/packages/router/src/node/peers/joinDirectory.ts
@@ -2,6 +2,7 @@
 import {
   DIRECTORY_POLL_MS,
   DIRECTORY_RETRY_MS,
+  MAX_DIRECTORY_RETRY_MS,
   DIGEST_FANOUT,
 } from '../constants.js'
 import type { LogRestores } from '../sources/createLogRestores.js'
@@ -59,6 +60,7 @@
   }
 
   async function run(): Promise<void> {
+    let retryMs = DIRECTORY_RETRY_MS
     while (!signal.aborted) {
       if (!isRegistered) await register()
       const listed = await directory.list()
@@ -66,11 +68,13 @@
       isRegistered ||= isSameAddress(listed?.get(router), address)
       for (const [name, peer] of listed ?? [])
         if (name !== router) onListed(name, peer)
-      await pause(
-        isRegistered && listed
-          ? pollIntervalMs(listed.size)
-          : DIRECTORY_RETRY_MS,
-      )
+      if (isRegistered && listed) {
+        retryMs = DIRECTORY_RETRY_MS
+        await pause(pollIntervalMs(listed.size))
+      } else {
+        await pause(retryMs)
+        retryMs = Math.min(2 * retryMs, MAX_DIRECTORY_RETRY_MS)
+      }
     }
   }
 
--- a/packages/router/src/node/sources/createSourceFollower.ts
+++ b/packages/router/src/node/sources/createSourceFollower.ts
@@ -5,6 +5,8 @@
 
 /** Milliseconds between two polls of an unavailable source, and between two checks for a fresh reader. */
 const RETRY_MS = 250
+/** Milliseconds between two polls of an unavailable source that a peer polls more often. */
+const FOLLOWER_RETRY_MS = 1_000
 
 /** Options for {@link createSourceFollower}. */
 export interface SourceFollowerOptions<T> {
@@ -15,6 +17,8 @@
   readonly now: () => number
   /** Whether a peer polls for this router, which then only lists the source once. */
   readonly hasFreshReader?: () => boolean
+  /** Whether a live peer polls an unavailable source for this router and reports its return. */
+  readonly hasRetryingPeer?: () => boolean
   /** Restores of the source's log, after which offsets are no longer valid. */
   readonly logRestores?: LogRestores
   readonly onListing: (values: ReadonlyMap<string, T>) => void
@@ -30,6 +34,8 @@
 export interface SourceFollower {
   /** Milliseconds since the last successful poll; infinite before the first. */
   lastPollAgeMs(): number
+  /** Milliseconds since the source became unavailable; 0 while it is available. */
+  outageMs(): number
   stop(): void
 }
 
@@ -114,9 +120,14 @@
   async function poll(): Promise<number> {
     if (nextOffset !== undefined && options.hasFreshReader?.()) return RETRY_MS
     if (wasRestoredSince(offsetRestores)) nextOffset = undefined
-    if (nextOffset === undefined)
-      return (await list()) ? options.pollIntervalMs : RETRY_MS
-    return (await readChanges(nextOffset)) ? options.pollIntervalMs : RETRY_MS
+    const isRead =
+      nextOffset === undefined ? await list() : await readChanges(nextOffset)
+    return isRead ? options.pollIntervalMs : retryMs()
+  }
+
+  function retryMs(): number {
+    const isOut = outageStartMs !== undefined
+    return isOut && options.hasRetryingPeer?.() ? FOLLOWER_RETRY_MS : RETRY_MS
   }
 
   async function run(): Promise<void> {
@@ -129,6 +140,7 @@
   void run()
   return {
     lastPollAgeMs: () => now() - lastPollAtMs,
+    outageMs: () => (outageStartMs === undefined ? 0 : now() - outageStartMs),
     stop: () => {
       stopping.abort()
     },
--- a/packages/router/src/node/targets/followTargets.ts
+++ b/packages/router/src/node/targets/followTargets.ts
@@ -25,6 +25,8 @@
   readonly now: () => number
   /** Whether a peer polls the source for this router. */
   readonly hasFreshReader: () => boolean
+  /** Whether a peer retries an unavailable source for this router. */
+  readonly hasRetryingPeer?: () => boolean
   /** Called when a target was added or removed, or its draining state changed. */
   readonly onChange: () => void
   readonly log: DecisionLog
@@ -120,6 +122,9 @@
     ...(logRestores && { logRestores }),
     pollIntervalMs: options.pollIntervalMs,
     hasFreshReader: () => !mustPoll && options.hasFreshReader(),
+    ...(options.hasRetryingPeer && {
+      hasRetryingPeer: options.hasRetryingPeer,
+    }),
     onRead: () => {
       mustPoll = false
     },
