--- /dev/null
+++ b/packages/router/src/node/routing/__tests__/holderLoss.test.ts
@@ -0,0 +1,178 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import type { Call } from '../../callers/call.js'
+import { testRoute } from '../../configuration/__tests__/testConfiguration.js'
+import { RequestKind } from '../../configuration/requestKind.js'
+import { HEALTH_OPTIONS } from '../../health/constants.js'
+import { createStallDetector } from '../../health/createStallDetector.js'
+import { createTargetHealth } from '../../health/createTargetHealth.js'
+import { createTargetList } from '../../targets/createTargetList.js'
+import { createCacheLocations } from '../createCacheLocations.js'
+import { createFleetLoad } from '../createFleetLoad.js'
+import { createTargetSelector } from '../createTargetSelector.js'
+import { PlacementReason } from '../placementReason.js'
+
+const SERVICE = 'engines'
+const TARGETS = 6
+const PROMPTS = 60
+const SHARED_TOKENS = 10_000
+const OWN_TOKENS = 500
+/** Milliseconds between two requests with the same prompt. */
+const RETURN_MS = 1_000
+const DRAIN_MS = 2_000
+
+/** What one caller got. */
+interface Answer {
+  /** Tokens that the target prefilled before its first token. */
+  readonly prefilled: number
+  readonly reason: PlacementReason
+}
+
+/** Plays returning prompts on a fake clock against targets that cache what they read or fetch. */
+function createPlay({ sharesCache }: { sharesCache: boolean }) {
+  let nowMs = 0
+  let requests = 0
+  const now = (): number => nowMs
+  const targetList = createTargetList(0, () => DRAIN_MS)
+  const caches = new Map<string, Set<string>>()
+  const health = createTargetHealth(HEALTH_OPTIONS, () => undefined)
+  const selector = createTargetSelector({
+    targetList,
+    load: createFleetLoad(() => 1_000),
+    cacheLocations: createCacheLocations(1_000, now),
+    health,
+    stallDetector: createStallDetector(1_000),
+    sharesCache: () => sharesCache,
+    onNewPrompt: () => undefined,
+    now,
+  })
+
+  function add(id: string): void {
+    caches.set(id, new Set())
+    targetList.set({
+      id,
+      service: SERVICE,
+      host: '10.0.0.1',
+      port: 1,
+      slots: 64,
+      draining: false,
+    })
+  }
+
+  for (let i = 0; i < TARGETS; i += 1) add(`t${i}`)
+
+  function call(prompt: string): Answer {
+    requests += 1
+    const request: Call = {
+      request: {
+        attemptId: `a${requests}`,
+        host: 'a.example',
+        promptParts: [
+          { id: prompt, tokens: SHARED_TOKENS },
+          { id: `own-${requests}`, tokens: OWN_TOKENS },
+        ],
+      },
+      method: 'POST',
+      path: '/',
+      rawHeaders: [],
+      body: Buffer.alloc(0),
+      route: testRoute({ kind: RequestKind.Stream, cachesPrompts: true }),
+      service: SERVICE,
+      deadlineAtMs: nowMs + 10_000,
+      signal: new AbortController().signal,
+    }
+    const placement = selector.select(request, new Set())
+    assert.ok(placement)
+    const { target, reason, fetchFrom } = placement
+    selector.recordSent(request, target)
+    const cache = caches.get(target.id)
+    assert.ok(cache)
+    const fetched = fetchFrom && caches.get(fetchFrom.id)?.has(prompt)
+    const isCached = cache.has(prompt) || fetched === true
+    cache.add(prompt)
+    return {
+      prefilled: OWN_TOKENS + (isCached ? 0 : SHARED_TOKENS),
+      reason,
+    }
+  }
+
+  return {
+    /** Sends each prompt once in every {@link RETURN_MS}; returns the answers. */
+    play(seconds: number): Answer[] {
+      const answers: Answer[] = []
+      for (let s = 0; s < seconds; s += 1)
+        for (let i = 0; i < PROMPTS; i += 1) {
+          answers.push(call(`prompt-${i}`))
+          nowMs += RETURN_MS / PROMPTS
+        }
+      return answers
+    },
+    /** Stops a target without notice; its cache is lost. */
+    crash(id: string): void {
+      caches.delete(id)
+      health.recordUnreachable(id, nowMs)
+      targetList.remove(id, nowMs)
+    },
+    /** Removes a target without notice; it serves for the drain time. */
+    removeFromList(id: string): void {
+      targetList.remove(id, nowMs)
+    },
+    add,
+  }
+}
+
+const countFullPrefills = (answers: readonly Answer[]): number =>
+  answers.filter(({ prefilled }) => prefilled > OWN_TOKENS).length
+
+describe('the loss of targets that cache returning prompts', () => {
+  it('costs no prefill once earlier losses have shown that a second holder pays', () => {
+    const play = createPlay({ sharesCache: true })
+    play.play(10)
+    play.crash('t0')
+    play.add('t6')
+    play.play(5)
+    play.crash('t1')
+    assert.equal(countFullPrefills(play.play(2)), 0)
+  })
+
+  it('makes no second holder without a loss', () => {
+    const play = createPlay({ sharesCache: true })
+    const answers = play.play(60)
+    assert.equal(countFullPrefills(answers), PROMPTS)
+    assert.ok(
+      answers.every(({ reason }) => reason !== PlacementReason.FurtherHolder),
+    )
+  })
+
+  it('makes no second holder if targets cannot fetch from each other', () => {
+    const play = createPlay({ sharesCache: false })
+    play.play(10)
+    play.crash('t0')
+    const answers = play.play(10)
+    assert.ok(
+      answers.every(({ reason }) => reason !== PlacementReason.FurtherHolder),
+    )
+  })
+
+  it('lets the next holder fetch from a target that was removed and still serves', () => {
+    const play = createPlay({ sharesCache: true })
+    play.play(5)
+    play.removeFromList('t0')
+    const answers = play.play(1)
+    assert.ok(
+      answers.some(({ reason }) => reason === PlacementReason.HolderLost),
+    )
+    assert.equal(countFullPrefills(answers), 0)
+  })
+
+  it('fetches nothing from a target that refuses connections', () => {
+    const play = createPlay({ sharesCache: true })
+    play.play(5)
+    play.crash('t0')
+    const lost = play
+      .play(1)
+      .filter(({ reason }) => reason === PlacementReason.HolderLost)
+    assert.ok(lost.length > 0)
+    assert.equal(countFullPrefills(lost), lost.length)
+  })
+})
