--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -5,7 +5,6 @@
 import { createCallerServer } from './callers/createCallerServer.js'
 import { createDispatcher } from './callers/createDispatcher.js'
 import { createConfigurationStore } from './configuration/createConfigurationStore.js'
-import { followConfigurations } from './configuration/followConfigurations.js'
 import type { RouterConfiguration } from './configuration/routerConfiguration.js'
 import * as constants from './constants.js'
 import { createStallDetector } from './health/createStallDetector.js'
@@ -23,10 +22,10 @@
 import { createFleetLoad } from './routing/createFleetLoad.js'
 import { createCacheLocations } from './routing/createCacheLocations.js'
 import { createTargetSelector } from './routing/createTargetSelector.js'
+import { createLogFollowers } from './sources/createLogFollowers.js'
 import type { RouterSettings } from './settings/settingsSchema.js'
 import { createPauseDetector } from './createPauseDetector.js'
 import { createTargetClient } from './targets/createTargetClient.js'
-import { followTargets } from './targets/followTargets.js'
 import { createTargetList } from './targets/createTargetList.js'
 
 /** Length of the random id of one run of a router, in bytes. */
@@ -90,34 +89,15 @@
     })
   }
 
-  ports.logRestores.onRestore((restores) => {
-    log.write(LogEvent.LogRestored, { restores })
-  })
-  const configurations = followConfigurations({
-    source: ports.configurations,
-    logRestores: ports.logRestores,
-    hasFreshReader: () => peers.current?.hasFreshConfigurationReader() ?? false,
-    hasRetryingPeer: () =>
-      configurationStore.current !== undefined &&
-      (peers.current?.hasEarlierPeer() ?? false),
-    applyIfNewer: applyConfiguration,
-    now,
-    log,
-  })
-  const targets = followTargets({
-    source: ports.targets,
-    logRestores: ports.logRestores,
+  const { configurations, targets } = createLogFollowers({
+    ports,
+    configurationStore,
     targetList,
-    pollIntervalMs: settings.bounds.drainMs / constants.POLLS_PER_DRAIN,
-    lastFleetOutageAtMs: () => peers.current?.lastFleetOutageAtMs() ?? now(),
-    hasFreshReader: () => peers.current?.hasFreshTargetReader() ?? false,
-    hasRetryingPeer: () =>
-      targets.isLoaded() && (peers.current?.hasEarlierPeer() ?? false),
-    onChange: () => {
-      peers.current?.broadcast()
-    },
-    now,
+    drainMs: settings.bounds.drainMs,
+    peers: () => peers.current,
+    applyConfiguration,
     log,
+    now,
   })
   const state = createRouterState({
     configurationStore,
--- /dev/null
+++ b/packages/router/src/node/sources/createLogFollowers.ts
@@ -0,0 +1,77 @@
+import type { ConfigurationStore } from '../configuration/createConfigurationStore.js'
+import { followConfigurations } from '../configuration/followConfigurations.js'
+import type { RouterConfiguration } from '../configuration/routerConfiguration.js'
+import { POLLS_PER_DRAIN } from '../constants.js'
+import type { DecisionLog } from '../logging/decisionLog.js'
+import { LogEvent } from '../logging/logEvent.js'
+import type { Peers } from '../peers/createPeers.js'
+import type { RouterPorts } from '../routerPorts.js'
+import type { TargetList } from '../targets/createTargetList.js'
+import {
+  followTargets,
+  type TargetsFollower,
+} from '../targets/followTargets.js'
+import type { SourceFollower } from './createSourceFollower.js'
+
+/** Options for {@link createLogFollowers}. */
+export interface LogFollowersOptions {
+  readonly ports: RouterPorts
+  readonly configurationStore: ConfigurationStore
+  readonly targetList: TargetList
+  /** Milliseconds for which a target that leaves may still get requests. */
+  readonly drainMs: number
+  /** Returns the exchange with peers; undefined while it starts. */
+  readonly peers: () => Peers | undefined
+  /** Activates a configuration if it is newer; `from` names where it came from. */
+  readonly applyConfiguration: (
+    configuration: RouterConfiguration,
+    from: string,
+  ) => void
+  readonly log: DecisionLog
+  /** Monotonic clock, in milliseconds. */
+  readonly now: () => number
+}
+
+/** Followers of the platform's log. */
+export interface LogFollowers {
+  readonly configurations: SourceFollower
+  readonly targets: TargetsFollower
+}
+
+/** Starts to follow configurations and targets, which one router of the fleet polls for all. */
+export function createLogFollowers(options: LogFollowersOptions): LogFollowers {
+  const { ports, configurationStore, targetList, peers, log, now } = options
+  const { logRestores } = ports
+
+  logRestores.onRestore((restores) => {
+    log.write(LogEvent.LogRestored, { restores })
+  })
+  const configurations = followConfigurations({
+    source: ports.configurations,
+    logRestores,
+    hasFreshReader: () => peers()?.hasFreshConfigurationReader() ?? false,
+    // A router that knows no configuration yet tries as often as it may.
+    hasRetryingPeer: () =>
+      configurationStore.current !== undefined &&
+      (peers()?.hasEarlierPeer() ?? false),
+    applyIfNewer: options.applyConfiguration,
+    now,
+    log,
+  })
+  const targets: TargetsFollower = followTargets({
+    source: ports.targets,
+    logRestores,
+    targetList,
+    pollIntervalMs: options.drainMs / POLLS_PER_DRAIN,
+    lastFleetOutageAtMs: () => peers()?.lastFleetOutageAtMs() ?? now(),
+    hasFreshReader: () => peers()?.hasFreshTargetReader() ?? false,
+    hasRetryingPeer: () =>
+      targets.isLoaded() && (peers()?.hasEarlierPeer() ?? false),
+    onChange: () => {
+      peers()?.broadcast()
+    },
+    now,
+    log,
+  })
+  return { configurations, targets }
+}
