Learn from the targets where prompts are cached after a restart of the fleet

Prompts went to where rendezvous puts them today, not to where they had been.

Change: a router that starts asks its share of the targets (rendezvous over the routers in the directory) for the prompt parts that they cache, and reports them to its peers; half a second later live routers take over the shares of dead ones, unless a peer has run for longer.

--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -21,10 +21,11 @@
 import type { RouterPorts } from './routerPorts.js'
 import { createFleetLoad } from './routing/createFleetLoad.js'
 import { createCacheLocations } from './routing/createCacheLocations.js'
+import { recoverCacheLocations } from './routing/recoverCacheLocations.js'
 import { createTargetSelector } from './routing/createTargetSelector.js'
 import { createLogFollowers } from './sources/createLogFollowers.js'
 import type { RouterSettings } from './settings/settingsSchema.js'
-import { createPauseDetector } from './createPauseDetector.js'
+import { watchPauses } from './watchPauses.js'
 import { createTargetClient } from './targets/createTargetClient.js'
 import { createTargetList } from './targets/createTargetList.js'
 
@@ -120,16 +121,36 @@
     now,
   })
 
-  const pauseDetector = createPauseDetector({
-    maxGapMs: constants.EVENT_LOOP_PAUSE_MS,
-    now,
-    epochNow: Date.now,
+  const isReady = (): boolean =>
+    !stopping && configurationStore.current !== undefined && targets.isLoaded()
+  const sharesCache = (service: string): boolean =>
+    configurationStore.current?.services.get(service)?.sharesCache ?? false
+  const recovery = new AbortController()
+  void recoverCacheLocations({
+    router: settings.router.id,
+    inventory: ports.cacheInventory,
+    cacheLocations,
+    targets: () =>
+      isReady()
+        ? [...targetList.all()].filter(({ service }) => sharesCache(service))
+        : undefined,
+    listedRouters: () => peers.current?.listedRouters(),
+    livePeers: () => peers.current?.livePeers() ?? [],
+    hasEstablishedPeer: () => peers.current?.hasEstablishedPeer() ?? false,
+    onRecovered: (target, prompts) => {
+      log.write(LogEvent.CacheRecovered, { target: target.id, prompts })
+      peers.current?.scheduleBroadcast()
+    },
+    onFailed: (target) => {
+      log.write(LogEvent.CacheUnknown, { target: target.id })
+    },
+    signal: recovery.signal,
   })
-  const pauseTimer = setInterval(() => {
-    if (!pauseDetector.check()) return
+
+  const stopWatchingPauses = watchPauses(now, () => {
     log.write(LogEvent.Paused, { version: configurationStore.version })
     targets.invalidate()
-  }, constants.DIGEST_INTERVAL_MS)
+  })
 
   const retryBudgetFor = createRetryBudgets({
     bounds: () => ({
@@ -158,9 +179,7 @@
         cacheLocations,
         health,
         stallDetector,
-        sharesCache: (service) =>
-          configurationStore.current?.services.get(service)?.sharesCache ??
-          false,
+        sharesCache,
         onNewPrompt: () => {
           peers.current?.scheduleBroadcast()
         },
@@ -182,8 +201,6 @@
     now,
   })
 
-  const isReady = (): boolean =>
-    !stopping && configurationStore.current !== undefined && targets.isLoaded()
   const readiness = await createReadinessServer(
     settings.listen.readiness,
     isReady,
@@ -215,7 +232,8 @@
     await waitForRequests(endMs)
     log.write(LogEvent.Stopped, { brokenOff: callers.inFlight })
     callers.close()
-    clearInterval(pauseTimer)
+    stopWatchingPauses()
+    recovery.abort()
     configurations.stop()
     targets.stop()
     peers.current?.close()
--- a/packages/router/src/node/logging/logEvent.ts
+++ b/packages/router/src/node/logging/logEvent.ts
@@ -11,6 +11,8 @@
   TargetListed = 'target-listed',
   TargetDraining = 'target-draining',
   TargetRemoved = 'target-gone',
+  CacheRecovered = 'cache-recovered',
+  CacheUnknown = 'cache-unknown',
   TargetHealth = 'target-health',
   SourceUnavailable = 'source-lost',
   SourceRecovered = 'source-regained',
--- a/packages/router/src/node/peers/createPeers.ts
+++ b/packages/router/src/node/peers/createPeers.ts
@@ -45,6 +45,12 @@
   hasFreshTargetReader(): boolean
   /** Whether a live peer precedes this router in the order in which routers become readers. */
   hasEarlierPeer(): boolean
+  /** Returns the routers of the directory; undefined until it is listed. */
+  listedRouters(): readonly string[] | undefined
+  /** Returns the peers that are neither lost nor stopping. */
+  livePeers(): readonly string[]
+  /** Whether a live peer has run for longer than this router needs to start. */
+  hasEstablishedPeer(): boolean
   /** Last time at which no peer had polled the target list within SHORT_OUTAGE_MS, in milliseconds. */
   lastFleetOutageAtMs(): number
   /** Sends a digest to the peers that are due, at once. */
@@ -58,12 +64,16 @@
   return Number.isFinite(value) ? Math.round(value) : null
 }
 
+/** Digests that a router sends within 5 s of its start, at least. */
+const ESTABLISHED_DIGESTS = 25
+
 /** Starts to exchange digests; rejects if the address is in use. */
 export async function createPeers(options: PeersOptions): Promise<Peers> {
   const { settings, state, load, cacheLocations, logRestores, log, now } =
     options
   const { id: router } = settings.router
   let sequence = 0
+  let listedRouters: string[] | undefined
   let lastFleetOutageAtMs = now()
   const table = createPeerTable({
     timeoutMs: constants.PEER_TIMEOUT_MS,
@@ -203,8 +213,10 @@
     logRestores,
     router,
     address,
-    onListed: (peer, peerAddress) => {
-      table.addListed(peer, peerAddress, now())
+    onListed: (listed) => {
+      listedRouters = [...listed.keys()]
+      for (const [peer, peerAddress] of listed)
+        if (peer !== router) table.addListed(peer, peerAddress, now())
     },
   })
 
@@ -218,6 +230,12 @@
     hasFreshTargetReader,
     hasEarlierPeer: () =>
       table.livePeers(now()).some((peer) => peer.router < router),
+    listedRouters: () => listedRouters,
+    livePeers: () => table.livePeers(now()).map((peer) => peer.router),
+    hasEstablishedPeer: () =>
+      table
+        .livePeers(now())
+        .some((peer) => (peer.digest?.sequence ?? 0) > ESTABLISHED_DIGESTS),
     lastFleetOutageAtMs: () => lastFleetOutageAtMs,
     broadcast,
     scheduleBroadcast,
--- a/packages/router/src/node/peers/joinDirectory.ts
+++ b/packages/router/src/node/peers/joinDirectory.ts
@@ -15,7 +15,8 @@
   readonly logRestores: LogRestores
   readonly router: string
   readonly address: PeerAddress
-  readonly onListed: (router: string, address: PeerAddress) => void
+  /** Called with all registered routers. */
+  readonly onListed: (routers: ReadonlyMap<string, PeerAddress>) => void
 }
 
 function isSameAddress(a: PeerAddress | undefined, b: PeerAddress): boolean {
@@ -66,8 +67,7 @@
       const listed = await directory.list()
       // The response to the registration may have been lost.
       isRegistered ||= isSameAddress(listed?.get(router), address)
-      for (const [name, peer] of listed ?? [])
-        if (name !== router) onListed(name, peer)
+      if (listed) onListed(listed)
       if (isRegistered && listed) {
         retryMs = DIRECTORY_RETRY_MS
         await pause(pollIntervalMs(listed.size))
--- a/packages/router/src/node/routerPorts.ts
+++ b/packages/router/src/node/routerPorts.ts
@@ -4,6 +4,7 @@
 import type { PeerAddress } from './peers/peerAddress.js'
 import type { LogRestores } from './sources/createLogRestores.js'
 import type { KeyedSource } from './sources/keyedSource.js'
+import type { CacheInventory } from './targets/cacheInventory.js'
 import type { Target } from './targets/target.js'
 import type { TargetProtocol } from './targets/targetProtocol.js'
 
@@ -24,6 +25,7 @@
   /** Targets by id. */
   readonly targets: KeyedSource<Target>
   readonly directory: RouterDirectory
+  readonly cacheInventory: CacheInventory
   /** Restores of the log that holds configurations, targets and the directory. */
   readonly logRestores: LogRestores
 }
--- a/packages/router/src/node/routing/createCacheLocations.ts
+++ b/packages/router/src/node/routing/createCacheLocations.ts
@@ -22,7 +22,7 @@
   cachedOn(key: string): readonly string[]
   /** Returns the milliseconds since a prompt was first used; 0 if it is unknown. */
   inUseMs(key: string): number
-  /** Returns the locations added by this router since the last call. */
+  /** Returns locations added by this router that were not returned before. */
   takeUpdates(): CacheLocation[]
   /** Returns every location, the latest of each prompt last. */
   all(): CacheLocation[]
@@ -30,8 +30,10 @@
 
 /** Targets remembered for one prompt. */
 const MAX_TARGETS_PER_PROMPT = 3
-/** Locations queued for peers; further ones are not reported. */
+/** Locations that are reported to peers at a time. */
 const MAX_UPDATES = 200
+/** Locations queued for peers; further ones are not reported. */
+const MAX_QUEUED_UPDATES = 2_000
 
 /**
  * Creates an empty table of cache locations.
@@ -43,7 +45,7 @@
   now: () => number,
 ): CacheLocations {
   const byKey = new LRUCache<string, Prompt>({ max: maxKeys })
-  let updates = new Map<string, string>()
+  const updates = new Map<string, string>()
 
   function addLocation(key: string, targetId: string): void {
     const known = byKey.get(key)
@@ -58,7 +60,7 @@
   return {
     add(key, targetId) {
       addLocation(key, targetId)
-      if (updates.size < MAX_UPDATES) updates.set(key, targetId)
+      if (updates.size < MAX_QUEUED_UPDATES) updates.set(key, targetId)
     },
     remove(key, targetId) {
       const known = byKey.get(key)
@@ -77,8 +79,8 @@
       return known ? now() - known.firstUsedAtMs : 0
     },
     takeUpdates() {
-      const taken = [...updates]
-      updates = new Map()
+      const taken = [...updates].slice(0, MAX_UPDATES)
+      for (const [key] of taken) updates.delete(key)
       return taken
     },
     all() {
--- /dev/null
+++ b/packages/router/src/node/routing/recoverCacheLocations.ts
@@ -0,0 +1,81 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { CacheInventory } from '../targets/cacheInventory.js'
+import type { Target } from '../targets/target.js'
+import { assignedTargets } from './assignedTargets.js'
+import type { CacheLocations } from './createCacheLocations.js'
+
+/** Interval of checks whether targets and routers are listed, in milliseconds. */
+const CHECK_MS = 10
+/** Longest wait for both lists, in milliseconds. */
+const MAX_WAIT_MS = 2_000
+/** Time until live peers are known, in milliseconds. */
+const PEERS_KNOWN_MS = 500
+/** Targets that one router asks at most; a larger share is not worth the calls. */
+const MAX_ASKED_TARGETS = 64
+
+/** Options for {@link recoverCacheLocations}. */
+export interface CacheRecoveryOptions {
+  readonly router: string
+  readonly inventory: CacheInventory
+  readonly cacheLocations: CacheLocations
+  /** Returns the targets that cache prompts; undefined until the target list is loaded. */
+  readonly targets: () => readonly Target[] | undefined
+  /** Returns the routers of the directory; undefined until it is listed. */
+  readonly listedRouters: () => readonly string[] | undefined
+  /** Returns the peers that have sent a digest. */
+  readonly livePeers: () => readonly string[]
+  /** Whether a peer knows the cache locations from before this router started. */
+  readonly hasEstablishedPeer: () => boolean
+  /** Called when locations were added. */
+  readonly onRecovered: (target: Target, prompts: number) => void
+  /** Called when a target gave no valid response. */
+  readonly onFailed: (target: Target) => void
+  readonly signal: AbortSignal
+}
+
+/**
+ * Learns from the targets where prompts are cached. Answers the restart of the
+ * whole fleet: targets keep their caches, but no router remembers them. Each
+ * router asks its share of the targets and reports the locations to its peers.
+ */
+export async function recoverCacheLocations(
+  options: CacheRecoveryOptions,
+): Promise<void> {
+  const { router, inventory, cacheLocations, signal } = options
+  const asked = new Set<string>()
+
+  async function ask(target: Target): Promise<void> {
+    asked.add(target.id)
+    const prompts = await inventory.list(target)
+    if (signal.aborted) return
+    if (!prompts) {
+      options.onFailed(target)
+      return
+    }
+    for (const prompt of prompts) cacheLocations.add(prompt, target.id)
+    options.onRecovered(target, prompts.length)
+  }
+
+  async function askShare(routers: readonly string[]): Promise<void> {
+    const targets = options.targets() ?? []
+    const share = assignedTargets(router, routers, targets)
+      .filter(({ id }) => !asked.has(id))
+      .slice(0, MAX_ASKED_TARGETS - asked.size)
+    await Promise.all(share.map(ask))
+  }
+
+  async function pause(ms: number): Promise<void> {
+    await sleep(ms, undefined, { signal, ref: false }).catch(() => undefined)
+  }
+
+  for (let waitedMs = 0; waitedMs < MAX_WAIT_MS; waitedMs += CHECK_MS) {
+    if (options.targets() && options.listedRouters()) break
+    await pause(CHECK_MS)
+    if (signal.aborted) return
+  }
+  await askShare(options.listedRouters() ?? [])
+  // Listed routers may be gone; live ones take over their shares.
+  await pause(PEERS_KNOWN_MS)
+  if (signal.aborted || options.hasEstablishedPeer()) return
+  await askShare(options.livePeers())
+}
