--- a/packages/router/src/node/routing/createCacheLocations.ts
+++ b/packages/router/src/node/routing/createCacheLocations.ts
@@ -1,11 +1,7 @@
 import { LRUCache } from 'lru-cache'
 
-/** The targets that cache one prompt. */
-interface Prompt {
-  /** Target ids, the latest first. */
-  readonly targets: readonly string[]
-  readonly firstUsedAtMs: number
-}
+/** Ids of the targets that cache one prompt, the latest first. */
+type CacheTargets = readonly string[]
 
 /** The affinity key of a prompt and the id of a target that caches it. */
 export type CacheLocation = readonly [key: string, targetId: string]
@@ -19,9 +15,7 @@
   /** Adds locations that a peer reported. */
   merge(locations: readonly CacheLocation[]): void
   /** Returns the ids of the targets that cache a prompt, the latest first. */
-  cachedOn(key: string): readonly string[]
-  /** Returns the milliseconds since a prompt was first used; 0 if it is unknown. */
-  inUseMs(key: string): number
+  cachedOn(key: string): CacheTargets
   /** Returns locations added by this router that were not returned before. */
   takeUpdates(): CacheLocation[]
   /** Returns every location, the latest of each prompt last. */
@@ -38,23 +32,16 @@
 /**
  * Creates an empty table of cache locations.
  * @param maxKeys Prompts that are remembered; the least recently used are evicted.
- * @param now Monotonic clock, in milliseconds.
  */
-export function createCacheLocations(
-  maxKeys: number,
-  now: () => number,
-): CacheLocations {
-  const byKey = new LRUCache<string, Prompt>({ max: maxKeys })
+export function createCacheLocations(maxKeys: number): CacheLocations {
+  const byKey = new LRUCache<string, CacheTargets>({ max: maxKeys })
   const updates = new Map<string, string>()
 
   function addLocation(key: string, targetId: string): void {
-    const known = byKey.get(key)
-    if (known?.targets[0] === targetId) return
-    const others = known?.targets.filter((id) => id !== targetId) ?? []
-    byKey.set(key, {
-      targets: [targetId, ...others].slice(0, MAX_TARGETS_PER_PROMPT),
-      firstUsedAtMs: known?.firstUsedAtMs ?? now(),
-    })
+    const known = byKey.get(key) ?? []
+    if (known[0] === targetId) return
+    const others = known.filter((id) => id !== targetId)
+    byKey.set(key, [targetId, ...others].slice(0, MAX_TARGETS_PER_PROMPT))
   }
 
   return {
@@ -63,21 +50,15 @@
       if (updates.size < MAX_QUEUED_UPDATES) updates.set(key, targetId)
     },
     remove(key, targetId) {
-      const known = byKey.get(key)
-      const others = known?.targets.filter((id) => id !== targetId) ?? []
-      if (known && others.length > 0)
-        byKey.set(key, { ...known, targets: others })
+      const others = (byKey.get(key) ?? []).filter((id) => id !== targetId)
+      if (others.length > 0) byKey.set(key, others)
       else byKey.delete(key)
       if (updates.get(key) === targetId) updates.delete(key)
     },
     merge(locations) {
       for (const [key, targetId] of locations) addLocation(key, targetId)
     },
-    cachedOn: (key) => byKey.get(key)?.targets ?? [],
-    inUseMs(key) {
-      const known = byKey.get(key)
-      return known ? now() - known.firstUsedAtMs : 0
-    },
+    cachedOn: (key) => byKey.get(key) ?? [],
     takeUpdates() {
       const taken = [...updates].slice(0, MAX_UPDATES)
       for (const [key] of taken) updates.delete(key)
@@ -85,7 +66,7 @@
     },
     all() {
       const all: CacheLocation[] = []
-      for (const [key, { targets }] of byKey.entries())
+      for (const [key, targets] of byKey.entries())
         for (const id of targets.toReversed()) all.push([key, id])
       return all
     },
--- a/packages/router/src/node/routing/createTargetSelector.ts
+++ b/packages/router/src/node/routing/createTargetSelector.ts
@@ -7,11 +7,9 @@
 import { affinityKey } from './affinityKey.js'
 import type { CacheLocations } from './createCacheLocations.js'
 import type { FleetLoad } from './createFleetLoad.js'
-import { createTargetLossRates } from './createTargetLossRates.js'
 import type { Placement } from './placement.js'
 import { PlacementReason } from './placementReason.js'
 import { selectTarget } from './selectTarget.js'
-import { wantedHolders } from './wantedHolders.js'
 
 /** Options for {@link createTargetSelector}. */
 export interface TargetSelectorOptions {
@@ -54,16 +52,6 @@
 ): TargetSelector {
   const { targetList, load, cacheLocations, health, stallDetector } = options
   const { sharesCache, now } = options
-  const lossRates = createTargetLossRates()
-
-  function wantedHoldersOf(key: string, service: string): number {
-    // A further holder pays off only if it fetches the prompt.
-    if (!sharesCache(service)) return 1
-    return wantedHolders({
-      lossesPerMs: lossRates.lossesPerMs(service),
-      inUseMs: cacheLocations.inUseMs(key),
-    })
-  }
 
   /** Returns a holder to fetch the prompt from; one that has crashed would only delay the request. */
   function findSource(
@@ -90,7 +78,6 @@
       const { service, request } = call
       const nowMs = now()
       const ready = targetList.ready(service, nowMs)
-      lossRates.observe(service, ready, nowMs)
       const untried = ready.filter(({ id }) => !tried.has(id))
       const available = health
         .eligibleTargets(service, ready, nowMs)
@@ -106,10 +93,7 @@
         promptTokens,
         tieBreaker: request.attemptId,
         cachedOn,
-        ...(key !== undefined && {
-          affinity: key,
-          wantedHolders: wantedHoldersOf(key, service),
-        }),
+        ...(key !== undefined && { affinity: key }),
       })
       if (!selected) return undefined
       if (selected.reason === PlacementReason.NoPrompt)
--- a/packages/router/src/node/routing/placementReason.ts
+++ b/packages/router/src/node/routing/placementReason.ts
@@ -6,8 +6,6 @@
   Holder = 'holder',
   /** No target is known to cache the prompt. */
   NewPrompt = 'new-prompt',
-  /** The prompt gets a further holder in case the only one is lost. */
-  FurtherHolder = 'further-holder',
   /** Every holder has left the target list or is draining. */
   HolderLost = 'holder-lost',
   /** Every listed holder was tried, is failing, stalled or avoided. */
--- a/packages/router/src/node/routing/selectTarget.ts
+++ b/packages/router/src/node/routing/selectTarget.ts
@@ -14,11 +14,6 @@
   readonly promptTokens: number
   /** Ids of the targets that cache the prompt, the preferred first. */
   readonly cachedOn: readonly string[]
-  /**
-   * Targets that should cache the prompt; a further one fetches it from a holder.
-   * @default 1
-   */
-  readonly wantedHolders?: number
   /** Key that orders equally loaded targets, different for each request. */
   readonly tieBreaker: string
 }
@@ -132,11 +127,6 @@
         : PlacementReason.HolderLost
     return selected(findByAffinity(options, affinity, available), reason)
   }
-  const others = available.filter((target) => !holders.includes(target))
-  if (holders.length < (options.wantedHolders ?? 1)) {
-    const [next] = orderBy(affinity, others)
-    if (next) return selected(next, PlacementReason.FurtherHolder)
-  }
   const usable = holders.filter((target) => available.includes(target))
   if (usable.length > 0)
     return selected(
