--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -131,16 +131,8 @@
       isReady()
         ? [...targetList.all()].filter(({ service }) => sharesCache(service))
         : undefined,
-    listedRouters: () => peers.current?.listedRouters(),
-    livePeers: () => peers.current?.livePeers() ?? [],
-    hasEstablishedPeer: () => peers.current?.hasEstablishedPeer() ?? false,
-    onRecovered: (target, prompts) => {
-      log.write(LogEvent.CacheRecovered, { target: target.id, prompts })
-      peers.current?.scheduleBroadcast()
-    },
-    onFailed: (target) => {
-      log.write(LogEvent.CacheUnknown, { target: target.id })
-    },
+    peers: peers.current,
+    log,
     signal: recovery.signal,
   })
 
--- /dev/null
+++ b/packages/router/src/node/routing/__tests__/recoverCacheLocations.test.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import type { CacheInventory } from '../../targets/cacheInventory.js'
+import type { Target } from '../../targets/target.js'
+import { assignedTargets } from '../assignedTargets.js'
+import { createCacheLocations } from '../createCacheLocations.js'
+import {
+  type RecoveryPeers,
+  recoverCacheLocations,
+} from '../recoverCacheLocations.js'
+
+const TARGETS = Array.from({ length: 9 }, (_, i): Target => ({
+  id: `t${i}`,
+  service: 's',
+  host: '10.0.0.1',
+  port: i,
+  slots: 4,
+  draining: false,
+}))
+const ROUTERS = ['r1', 'r2', 'r3', 'r4']
+
+const promptOf = ({ id }: Target): string => `prompt of ${id}`
+
+/** Recovers as `router`; returns the targets that it asked and the locations that it learnt. */
+async function recover(
+  router: string,
+  peers: Partial<RecoveryPeers>,
+  list: CacheInventory['list'] = (target) =>
+    Promise.resolve([promptOf(target)]),
+) {
+  const asked: string[] = []
+  const cacheLocations = createCacheLocations(100)
+  await recoverCacheLocations({
+    router,
+    inventory: {
+      list: (target) => {
+        asked.push(target.id)
+        return list(target)
+      },
+    },
+    cacheLocations,
+    targets: () => TARGETS,
+    peers: {
+      listedRouters: () => ROUTERS,
+      livePeers: () => ROUTERS.filter((peer) => peer !== router),
+      hasEstablishedPeer: () => false,
+      scheduleBroadcast: () => undefined,
+      ...peers,
+    },
+    log: { write: () => undefined },
+    signal: new AbortController().signal,
+  })
+  return { asked, cacheLocations }
+}
+
+describe('recoverCacheLocations', () => {
+  it('asks each target once in the whole fleet and reports its prompts to peers', async () => {
+    const fleet = await Promise.all(
+      ROUTERS.map((router) => recover(router, {})),
+    )
+    const asked = fleet.flatMap((router) => router.asked).sort()
+    assert.deepEqual(
+      asked,
+      TARGETS.map(({ id }) => id),
+    )
+    const reported = fleet.flatMap(({ cacheLocations }) =>
+      cacheLocations.takeUpdates(),
+    )
+    for (const target of TARGETS)
+      assert.ok(
+        reported.some(
+          ([key, id]) => key === promptOf(target) && id === target.id,
+        ),
+      )
+  })
+
+  it('takes over the share of listed routers that are gone', async () => {
+    const live = ['r1', 'r2']
+    const fleet = await Promise.all(
+      live.map((router) =>
+        recover(router, {
+          livePeers: () => live.filter((peer) => peer !== router),
+        }),
+      ),
+    )
+    const asked = fleet.flatMap((router) => router.asked).sort()
+    assert.deepEqual(
+      asked,
+      TARGETS.map(({ id }) => id),
+    )
+  })
+
+  it('leaves the shares of others to a peer that still knows the locations', async () => {
+    const { asked } = await recover('r1', {
+      livePeers: () => [],
+      hasEstablishedPeer: () => true,
+    })
+    assert.deepEqual(
+      asked,
+      assignedTargets('r1', ROUTERS, TARGETS).map(({ id }) => id),
+    )
+  })
+
+  it('goes on without the targets that do not respond', async () => {
+    const { cacheLocations } = await recover(
+      'r1',
+      { listedRouters: () => [], livePeers: () => [] },
+      (target) =>
+        Promise.resolve(target.id === 't0' ? undefined : [promptOf(target)]),
+    )
+    const [first, second] = TARGETS
+    assert.ok(first && second)
+    assert.deepEqual(cacheLocations.cachedOn(promptOf(first)), [])
+    assert.deepEqual(cacheLocations.cachedOn(promptOf(second)), [second.id])
+  })
+})
--- a/packages/router/src/node/routing/recoverCacheLocations.ts
+++ b/packages/router/src/node/routing/recoverCacheLocations.ts
@@ -1,4 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
+import type { DecisionLog } from '../logging/decisionLog.js'
+import { LogEvent } from '../logging/logEvent.js'
+import type { Peers } from '../peers/createPeers.js'
 import type { CacheInventory } from '../targets/cacheInventory.js'
 import type { Target } from '../targets/target.js'
 import { assignedTargets } from './assignedTargets.js'
@@ -13,6 +16,12 @@
 /** Targets that one router asks at most; a larger share is not worth the calls. */
 const MAX_ASKED_TARGETS = 64
 
+/** What the recovery needs to know of the other routers. */
+export type RecoveryPeers = Pick<
+  Peers,
+  'listedRouters' | 'livePeers' | 'hasEstablishedPeer' | 'scheduleBroadcast'
+>
+
 /** Options for {@link recoverCacheLocations}. */
 export interface CacheRecoveryOptions {
   readonly router: string
@@ -20,16 +29,8 @@
   readonly cacheLocations: CacheLocations
   /** Returns the targets that cache prompts; undefined until the target list is loaded. */
   readonly targets: () => readonly Target[] | undefined
-  /** Returns the routers of the directory; undefined until it is listed. */
-  readonly listedRouters: () => readonly string[] | undefined
-  /** Returns the peers that have sent a digest. */
-  readonly livePeers: () => readonly string[]
-  /** Whether a peer knows the cache locations from before this router started. */
-  readonly hasEstablishedPeer: () => boolean
-  /** Called when locations were added. */
-  readonly onRecovered: (target: Target, prompts: number) => void
-  /** Called when a target gave no valid response. */
-  readonly onFailed: (target: Target) => void
+  readonly peers: RecoveryPeers
+  readonly log: DecisionLog
   readonly signal: AbortSignal
 }
 
@@ -41,7 +42,7 @@
 export async function recoverCacheLocations(
   options: CacheRecoveryOptions,
 ): Promise<void> {
-  const { router, inventory, cacheLocations, signal } = options
+  const { router, inventory, cacheLocations, peers, log, signal } = options
   const asked = new Set<string>()
 
   async function ask(target: Target): Promise<void> {
@@ -49,11 +50,15 @@
     const prompts = await inventory.list(target)
     if (signal.aborted) return
     if (!prompts) {
-      options.onFailed(target)
+      log.write(LogEvent.CacheUnknown, { target: target.id })
       return
     }
     for (const prompt of prompts) cacheLocations.add(prompt, target.id)
-    options.onRecovered(target, prompts.length)
+    log.write(LogEvent.CacheRecovered, {
+      target: target.id,
+      prompts: prompts.length,
+    })
+    peers.scheduleBroadcast()
   }
 
   async function askShare(routers: readonly string[]): Promise<void> {
@@ -69,13 +74,13 @@
   }
 
   for (let waitedMs = 0; waitedMs < MAX_WAIT_MS; waitedMs += CHECK_MS) {
-    if (options.targets() && options.listedRouters()) break
+    if (options.targets() && peers.listedRouters()) break
     await pause(CHECK_MS)
     if (signal.aborted) return
   }
-  await askShare(options.listedRouters() ?? [])
+  await askShare(peers.listedRouters() ?? [])
   // Listed routers may be gone; live ones take over their shares.
   await pause(PEERS_KNOWN_MS)
-  if (signal.aborted || options.hasEstablishedPeer()) return
-  await askShare(options.livePeers())
+  if (signal.aborted || peers.hasEstablishedPeer()) return
+  await askShare(peers.livePeers())
 }
