--- a/packages/router/src/node/routing/recoverCacheLocations.ts
+++ b/packages/router/src/node/routing/recoverCacheLocations.ts
@@ -70,7 +70,7 @@
   }
 
   async function pause(ms: number): Promise<void> {
-    await sleep(ms, undefined, { signal, ref: false }).catch(() => undefined)
+    await sleep(ms, undefined, { signal }).catch(() => undefined)
   }
 
   for (let waitedMs = 0; waitedMs < MAX_WAIT_MS; waitedMs += CHECK_MS) {
