Check digests by hand and add up load in place

Change: arrays of a digest are checked without a schema, sums of load are changed in place, decoding makes no slices.

--- a/packages/router/src/node/peers/createPeers.ts
+++ b/packages/router/src/node/peers/createPeers.ts
@@ -123,8 +123,8 @@
 
   function onDigest(received: PeerDigest, host: string): void {
     if (received.router === router) return
-    const wasAlone = table.livePeers(now()).length === 0
     const wasLive = table.find(received.router, now()) !== undefined
+    const wasAlone = !wasLive && table.livePeers(now()).length === 0
     if (!table.update(received, host, now())) return
     if (!wasLive) log.write(LogEvent.PeerFound, { peer: received.router })
     if (wasAlone) fetcher.requestCacheLocations()
--- a/packages/router/src/node/peers/digestLoad.ts
+++ b/packages/router/src/node/peers/digestLoad.ts
@@ -42,12 +42,10 @@
 ): LoadByTarget {
   const load = new Map<string, TargetLoad>()
   for (let offset = 0; offset < work.length; offset += NUMBERS_PER_TARGET) {
-    const [index = -1, requests = 0, units = 0] = work.slice(
-      offset,
-      offset + NUMBERS_PER_TARGET,
-    )
-    const id = ids[index]
+    const id = ids[work[offset] ?? -1]
     if (id === undefined) continue
+    const requests = work[offset + 1] ?? 0
+    const units = work[offset + 2] ?? 0
     load.set(id, { requests, pendingPromptTokens: units * TOKEN_UNIT })
   }
   return load
--- a/packages/router/src/node/peers/peerDigest.ts
+++ b/packages/router/src/node/peers/peerDigest.ts
@@ -1,6 +1,22 @@
 import { decode, encode } from '@msgpack/msgpack'
 import * as v from 'valibot'
 
+/** A new cache location: an affinity key and a target id. An earlier release sent indexes, which are ignored. */
+type PlacedPrompt = readonly [key: string, target: string | number]
+
+// The arrays are checked by hand: a digest arrives from many peers several times
+// per second, and a schema allocates an object for each item.
+function isNumberArray(value: unknown): boolean {
+  return Array.isArray(value) && value.every((item) => typeof item === 'number')
+}
+
+function isPlacedPrompt(value: unknown): boolean {
+  if (!Array.isArray(value) || value.length !== 2) return false
+  const [key, target] = value as unknown[]
+  const isTarget = typeof target === 'string' || typeof target === 'number'
+  return typeof key === 'string' && isTarget
+}
+
 const digestSchema = v.object({
   router: v.string(),
   /** Identifies one start of the router. */
@@ -19,13 +35,10 @@
   targetsAgeMs: v.nullable(v.number()),
   stopping: v.boolean(),
   /** For each target with load: its index in the list of ids, requests in flight, pending prompt tokens in hundreds. */
-  work: v.array(v.number()),
-  /** New cache locations: affinity keys and target ids. An earlier release sent indexes, which are ignored. */
-  placed: v.array(
-    v.pipe(
-      v.tuple([v.string(), v.union([v.string(), v.number()])]),
-      v.readonly(),
-    ),
+  work: v.custom<readonly number[]>(isNumberArray),
+  /** New cache locations. */
+  placed: v.custom<readonly PlacedPrompt[]>(
+    (value) => Array.isArray(value) && value.every(isPlacedPrompt),
   ),
   /** Restores of the log that the router has seen; null if unknown. */
   logRestores: v.optional(v.nullable(v.number()), null),
--- a/packages/router/src/node/routing/createFleetLoad.ts
+++ b/packages/router/src/node/routing/createFleetLoad.ts
@@ -15,6 +15,12 @@
   total(targetId: string, nowMs: number): TargetLoad
 }
 
+/** A sum of loads, changed in place: each digest changes the sum of many targets. */
+interface LoadSum {
+  requests: number
+  pendingPromptTokens: number
+}
+
 interface PeerLoad {
   readonly load: LoadByTarget
   readonly receivedAtMs: number
@@ -25,25 +31,27 @@
  * @param staleMs Returns the milliseconds after which a peer's report is ignored.
  */
 export function createFleetLoad(staleMs: () => number): FleetLoad {
-  const own = new Map<string, TargetLoad>()
+  const own = new Map<string, LoadSum>()
   const peers = new Map<string, PeerLoad>()
   // Running sums over the peers, so that a lookup need not visit each of them.
-  const peerTotals = new Map<string, TargetLoad>()
+  const peerTotals = new Map<string, LoadSum>()
   let checkedAtMs = -Infinity
 
   function addTo(
-    sums: Map<string, TargetLoad>,
+    sums: Map<string, LoadSum>,
     targetId: string,
     requests: number,
     tokens: number,
   ): void {
-    const load = sums.get(targetId) ?? NO_LOAD
-    const sum = {
-      requests: load.requests + requests,
-      pendingPromptTokens: load.pendingPromptTokens + tokens,
+    const sum = sums.get(targetId)
+    if (!sum) {
+      if (requests > 0)
+        sums.set(targetId, { requests, pendingPromptTokens: tokens })
+      return
     }
-    if (sum.requests > 0) sums.set(targetId, sum)
-    else sums.delete(targetId)
+    sum.requests += requests
+    sum.pendingPromptTokens += tokens
+    if (sum.requests <= 0) sums.delete(targetId)
   }
 
   function removePeer(router: string): void {
