Let requests wait for the prefill of their prompt that is under way

Hypothesis: requests that arrive while their shared part is being prefilled for an earlier one prefill it again; they get their first token sooner if they wait, at most a quarter of the target latency.

Change: rates of prefill are observed per service; the selector returns how long the holder still prefills, the dispatcher waits that long.

--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from 'node:http'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { TargetOutcome } from '@auburnbay/core/health/targetOutcome'
 import { combineVerdicts } from '@auburnbay/core/verdict/attemptProgress'
 import { Verdict } from '@auburnbay/core/verdict/verdict'
@@ -11,6 +12,7 @@
 import { LogEvent } from '../logging/logEvent.js'
 import type { RouterMetrics } from '../metrics/routerMetrics.js'
 import type { FleetLoad } from '../routing/createFleetLoad.js'
+import type { PrefillRates } from '../routing/createPrefillRates.js'
 import type { TargetSelector } from '../routing/createTargetSelector.js'
 import type { Placement } from '../routing/placement.js'
 import type {
@@ -46,6 +48,7 @@
 export interface DispatcherOptions {
   readonly load: FleetLoad
   readonly selector: TargetSelector
+  readonly prefillRates: PrefillRates
   readonly health: TargetHealth
   readonly stallDetector: StallDetector
   readonly client: TargetClient
@@ -62,11 +65,16 @@
   dispatch(call: Call, res: ServerResponse): Promise<DispatchOutcome>
 }
 
+/** Waits for `ms` milliseconds or until the call is aborted. */
+async function wait(ms: number, signal: AbortSignal): Promise<void> {
+  await sleep(ms, undefined, { signal }).catch(() => undefined)
+}
+
 /** Creates a dispatcher. */
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const headerTimeout = createHeaderTimeout()
-  const { load, selector, health, stallDetector, client, log, metrics, now } =
-    options
+  const { load, selector, prefillRates, health, stallDetector } = options
+  const { client, log, metrics, now } = options
 
   function headerTimeoutMs(
     call: Call,
@@ -171,10 +179,11 @@
     progress.sends += 1
     const { customer, route, signal } = call
     const lastEventId = progress.relay.lastEventId
-    const sentAtMs = now()
     load.recordStart(target.id, prefillTokens)
     metrics.recordPlacement(call.service, placement.reason, prefillTokens)
     selector.recordSent(call, target)
+    if (placement.waitMs > 0) await wait(placement.waitMs, signal)
+    const sentAtMs = now()
     stallDetector.recordSent(target.id, sentAtMs)
     try {
       const result = await client.send({
@@ -201,6 +210,7 @@
       }
       const headMs = now() - sentAtMs
       headerTimeout.recordHeaderTime(route.name, headMs)
+      if (!fetchFrom) prefillRates.record(call.service, prefillTokens, headMs)
       metrics.recordResponseHead(call.service, headMs / MS_PER_S)
       stallDetector.recordActivity(target.id, now())
       return await handleResponse(call, target, progress, result.value)
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -21,6 +21,7 @@
 import type { RouterPorts } from './routerPorts.js'
 import { createFleetLoad } from './routing/createFleetLoad.js'
 import { createCacheLocations } from './routing/createCacheLocations.js'
+import { createPrefillRates } from './routing/createPrefillRates.js'
 import { recoverCacheLocations } from './routing/recoverCacheLocations.js'
 import { createTargetSelector } from './routing/createTargetSelector.js'
 import { createLogFollowers } from './sources/createLogFollowers.js'
@@ -67,7 +68,10 @@
     return constants.MAX_LOST_DIGESTS * constants.DIGEST_INTERVAL_MS * rounds
   })
   const stallDetector = createStallDetector(constants.STALL_TIMEOUT_MS)
-  const cacheLocations = createCacheLocations(constants.MAX_CACHE_LOCATIONS)
+  const cacheLocations = createCacheLocations(
+    constants.MAX_CACHE_LOCATIONS,
+    now,
+  )
   const metrics = createRouterMetrics()
   const health = createTargetHealth(HEALTH_OPTIONS, (target, change) => {
     log.write(LogEvent.TargetHealth, { target: target.id, change })
@@ -151,6 +155,7 @@
       peers.current?.routerCount() ?? constants.DEFAULT_ROUTER_COUNT,
   })
 
+  const prefillRates = createPrefillRates()
   const client = createTargetClient({
     protocol: ports.targetProtocol,
     connectTimeoutMs: constants.CONNECT_TIMEOUT_MS,
@@ -162,7 +167,9 @@
     protocol: ports.callerProtocol,
     dispatcher: createDispatcher({
       load,
+      prefillRates,
       selector: createTargetSelector({
+        prefillRates,
         targetList,
         load,
         cacheLocations,
--- a/packages/router/src/node/routing/createTargetSelector.ts
+++ b/packages/router/src/node/routing/createTargetSelector.ts
@@ -7,6 +7,7 @@
 import { affinityKey } from './affinityKey.js'
 import type { CacheLocations } from './createCacheLocations.js'
 import type { FleetLoad } from './createFleetLoad.js'
+import type { PrefillRates } from './createPrefillRates.js'
 import type { Placement } from './placement.js'
 import { PlacementReason } from './placementReason.js'
 import { selectTarget } from './selectTarget.js'
@@ -22,6 +23,7 @@
   readonly sharesCache: (service: string) => boolean
   /** Called when a prompt that no target cached was sent to one. */
   readonly onNewPrompt: () => void
+  readonly prefillRates: PrefillRates
   /** Monotonic clock, in milliseconds. */
   readonly now: () => number
 }
@@ -46,12 +48,15 @@
   return tokens
 }
 
+/** Largest part of the target latency that a request waits for the prefill of another. */
+const MAX_WAIT_FRACTION = 0.25
+
 /** Creates a target selector. */
 export function createTargetSelector(
   options: TargetSelectorOptions,
 ): TargetSelector {
   const { targetList, load, cacheLocations, health, stallDetector } = options
-  const { sharesCache, now } = options
+  const { sharesCache, prefillRates, now } = options
 
   /** Returns a holder to fetch the prompt from; one that has crashed would only delay the request. */
   function findSource(
@@ -73,6 +78,22 @@
   const ownTokens = ({ request }: Call): number =>
     request.promptParts.at(-1)?.tokens ?? 0
 
+  /**
+   * Returns how long the target still prefills the shared part for the request
+   * that brought it there. Answers a prompt that many request at once: each
+   * request sent earlier would prefill it again and delay the first one.
+   */
+  function prefillWaitMs(call: Call, target: Target): number {
+    const key = keyOf(call)
+    if (key === undefined) return 0
+    const { promptParts } = call.request
+    const sharedTokens = tokensOf(promptParts) - ownTokens(call)
+    const expectedMs = prefillRates.expectedMs(call.service, sharedTokens)
+    const remainingMs = expectedMs - cacheLocations.knownForMs(key, target.id)
+    const maxMs = MAX_WAIT_FRACTION * call.route.targetLatencyMs
+    return Math.max(0, Math.min(maxMs, remainingMs))
+  }
+
   return {
     select(call, tried) {
       const { service, request } = call
@@ -97,9 +118,13 @@
       })
       if (!selected) return undefined
       if (selected.reason === PlacementReason.NoPrompt)
-        return { ...selected, prefillTokens: 0 }
+        return { ...selected, prefillTokens: 0, waitMs: 0 }
       if (cachedOn.includes(selected.target.id))
-        return { ...selected, prefillTokens: ownTokens(call) }
+        return {
+          ...selected,
+          prefillTokens: ownTokens(call),
+          waitMs: prefillWaitMs(call, selected.target),
+        }
       const isListed = ready.some(({ id }) => cachedOn.includes(id))
       const reason =
         selected.reason === PlacementReason.HolderLost && isListed
@@ -110,6 +135,7 @@
         target: selected.target,
         reason,
         prefillTokens: fetchFrom ? ownTokens(call) : promptTokens,
+        waitMs: 0,
         ...(fetchFrom && { fetchFrom }),
       }
     },
