--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -12,7 +12,6 @@
 import { LogEvent } from '../logging/logEvent.js'
 import type { RouterMetrics } from '../metrics/routerMetrics.js'
 import type { FleetLoad } from '../routing/createFleetLoad.js'
-import type { PrefillRates } from '../routing/createPrefillRates.js'
 import type { TargetSelector } from '../routing/createTargetSelector.js'
 import type { Placement } from '../routing/placement.js'
 import type {
@@ -38,6 +37,7 @@
 import { createResponseRelay } from './createResponseRelay.js'
 import { NextStep } from './nextStep.js'
 import { RelayOutcome } from './relayOutcome.js'
+import { targetSendOf } from './targetSendOf.js'
 
 /** Maximum number of sends of one request, including refused and undelivered ones. */
 const MAX_SENDS = 4
@@ -48,7 +48,6 @@
 export interface DispatcherOptions {
   readonly load: FleetLoad
   readonly selector: TargetSelector
-  readonly prefillRates: PrefillRates
   readonly health: TargetHealth
   readonly stallDetector: StallDetector
   readonly client: TargetClient
@@ -73,8 +72,8 @@
 /** Creates a dispatcher. */
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const headerTimeout = createHeaderTimeout()
-  const { load, selector, prefillRates, health, stallDetector } = options
-  const { client, log, metrics, now } = options
+  const { load, selector, health, stallDetector, client, log, metrics, now } =
+    options
 
   function headerTimeoutMs(
     call: Call,
@@ -173,35 +172,24 @@
     placement: Placement,
     progress: CallProgress,
   ): Promise<NextStep> {
-    const { target, fetchFrom, prefillTokens } = placement
+    const { target, prefillTokens } = placement
     progress.placement = placement
     progress.triedTargets.add(target.id)
     progress.sends += 1
-    const { customer, route, signal } = call
-    const lastEventId = progress.relay.lastEventId
     load.recordStart(target.id, prefillTokens)
     metrics.recordPlacement(call.service, placement.reason, prefillTokens)
     selector.recordSent(call, target)
-    if (placement.waitMs > 0) await wait(placement.waitMs, signal)
+    if (placement.waitMs > 0) await wait(placement.waitMs, call.signal)
     const sentAtMs = now()
     stallDetector.recordSent(target.id, sentAtMs)
     try {
-      const result = await client.send({
-        call,
-        signal,
-        headerTimeoutMs: headerTimeoutMs(call, progress, sentAtMs),
-        options: {
-          target,
-          bodyBytes: call.body.length,
-          remainingMs: call.deadlineAtMs - sentAtMs,
-          ...(customer && { customer: customer.name }),
-          ...(route.cachesPrompts && {
-            priority: customer?.priority ?? route.priority,
-          }),
-          ...(fetchFrom && { fetchFrom }),
-          ...(lastEventId !== undefined && { lastEventId }),
-        },
-      })
+      const result = await client.send(
+        targetSendOf(call, placement, {
+          sentAtMs,
+          headerTimeoutMs: headerTimeoutMs(call, progress, sentAtMs),
+          lastEventId: progress.relay.lastEventId,
+        }),
+      )
       load.releasePromptTokens(target.id, prefillTokens)
       if (result.isErr()) {
         if (result.error.verdict === Verdict.NotRun)
@@ -209,8 +197,8 @@
         return handleFailure(call, target, progress, result.error)
       }
       const headMs = now() - sentAtMs
-      headerTimeout.recordHeaderTime(route.name, headMs)
-      if (!fetchFrom) prefillRates.record(call.service, prefillTokens, headMs)
+      headerTimeout.recordHeaderTime(call.route.name, headMs)
+      selector.recordResponse(call, placement, headMs)
       metrics.recordResponseHead(call.service, headMs / MS_PER_S)
       stallDetector.recordActivity(target.id, now())
       return await handleResponse(call, target, progress, result.value)
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -21,7 +21,6 @@
 import type { RouterPorts } from './routerPorts.js'
 import { createFleetLoad } from './routing/createFleetLoad.js'
 import { createCacheLocations } from './routing/createCacheLocations.js'
-import { createPrefillRates } from './routing/createPrefillRates.js'
 import { recoverCacheLocations } from './routing/recoverCacheLocations.js'
 import { createTargetSelector } from './routing/createTargetSelector.js'
 import { createLogFollowers } from './sources/createLogFollowers.js'
@@ -155,7 +154,6 @@
       peers.current?.routerCount() ?? constants.DEFAULT_ROUTER_COUNT,
   })
 
-  const prefillRates = createPrefillRates()
   const client = createTargetClient({
     protocol: ports.targetProtocol,
     connectTimeoutMs: constants.CONNECT_TIMEOUT_MS,
@@ -167,9 +165,7 @@
     protocol: ports.callerProtocol,
     dispatcher: createDispatcher({
       load,
-      prefillRates,
       selector: createTargetSelector({
-        prefillRates,
         targetList,
         load,
         cacheLocations,
--- a/packages/router/src/node/routing/__tests__/holderLoss.test.ts
+++ b/packages/router/src/node/routing/__tests__/holderLoss.test.ts
@@ -8,7 +8,6 @@
 import { createTargetHealth } from '../../health/createTargetHealth.js'
 import { createTargetList } from '../../targets/createTargetList.js'
 import { createCacheLocations } from '../createCacheLocations.js'
-import { createPrefillRates } from '../createPrefillRates.js'
 import { createFleetLoad } from '../createFleetLoad.js'
 import { createTargetSelector } from '../createTargetSelector.js'
 import { PlacementReason } from '../placementReason.js'
@@ -40,7 +39,6 @@
   const selector = createTargetSelector({
     targetList,
     load: createFleetLoad(() => 1_000),
-    prefillRates: createPrefillRates(),
     cacheLocations: createCacheLocations(1_000, now),
     health,
     stallDetector: createStallDetector(1_000),
--- a/packages/router/src/node/routing/createTargetSelector.ts
+++ b/packages/router/src/node/routing/createTargetSelector.ts
@@ -7,7 +7,7 @@
 import { affinityKey } from './affinityKey.js'
 import type { CacheLocations } from './createCacheLocations.js'
 import type { FleetLoad } from './createFleetLoad.js'
-import type { PrefillRates } from './createPrefillRates.js'
+import { createPrefillRates } from './createPrefillRates.js'
 import type { Placement } from './placement.js'
 import { PlacementReason } from './placementReason.js'
 import { selectTarget } from './selectTarget.js'
@@ -23,7 +23,6 @@
   readonly sharesCache: (service: string) => boolean
   /** Called when a prompt that no target cached was sent to one. */
   readonly onNewPrompt: () => void
-  readonly prefillRates: PrefillRates
   /** Monotonic clock, in milliseconds. */
   readonly now: () => number
 }
@@ -34,6 +33,8 @@
   select(call: Call, tried: ReadonlySet<string>): Placement | undefined
   /** Records that a call is sent to a target. */
   recordSent(call: Call, target: Target): void
+  /** Records the time from a send to the head of its response. */
+  recordResponse(call: Call, placement: Placement, headMs: number): void
   /** Records that a target did not run a call. */
   recordNotRun(call: Call, target: Target): void
 }
@@ -56,7 +57,8 @@
   options: TargetSelectorOptions,
 ): TargetSelector {
   const { targetList, load, cacheLocations, health, stallDetector } = options
-  const { sharesCache, prefillRates, now } = options
+  const { sharesCache, now } = options
+  const prefillRates = createPrefillRates()
 
   /** Returns a holder to fetch the prompt from; one that has crashed would only delay the request. */
   function findSource(
@@ -146,6 +148,9 @@
       cacheLocations.add(key, target.id)
       if (isNew) options.onNewPrompt()
     },
+    recordResponse({ service }, { fetchFrom, prefillTokens }, headMs) {
+      if (!fetchFrom) prefillRates.record(service, prefillTokens, headMs)
+    },
     recordNotRun(call, target) {
       const key = keyOf(call)
       if (key !== undefined) cacheLocations.remove(key, target.id)
