--- a/packages/router/src/node/routing/createTargetSelector.ts
+++ b/packages/router/src/node/routing/createTargetSelector.ts
@@ -49,6 +49,8 @@
   return tokens
 }
 
+/** Multiple of the expected prefill time after which most prefills are complete. */
+const PREFILL_MARGIN = 1.25
 /** Largest part of the target latency that a request waits for the prefill of another. */
 const MAX_WAIT_FRACTION = 0.25
 
@@ -90,7 +92,8 @@
     if (key === undefined) return 0
     const { promptParts } = call.request
     const sharedTokens = tokensOf(promptParts) - ownTokens(call)
-    const expectedMs = prefillRates.expectedMs(call.service, sharedTokens)
+    const expectedMs =
+      PREFILL_MARGIN * prefillRates.expectedMs(call.service, sharedTokens)
     const remainingMs = expectedMs - cacheLocations.knownForMs(key, target.id)
     const maxMs = MAX_WAIT_FRACTION * call.route.targetLatencyMs
     return Math.max(0, Math.min(maxMs, remainingMs))
