--- a/packages/router/src/node/callers/createCallerServer.ts
+++ b/packages/router/src/node/callers/createCallerServer.ts
@@ -12,6 +12,7 @@
 import type { DecisionLog } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
 import type { RouterMetrics } from '../metrics/routerMetrics.js'
+import { affinityKey } from '../routing/affinityKey.js'
 import { type AdmittedRequest, admitRequest } from './admitRequest.js'
 import type { Call } from './call.js'
 import type { CallerProtocol } from './callerProtocol.js'
@@ -127,6 +128,7 @@
       targetsAgeMs: Math.round(options.targetsAgeMs()),
       target: placement?.target.id,
       placed: placement?.reason,
+      prompt: affinityKey(request.promptParts),
       prefillTokens: placement?.prefillTokens,
       fetchFrom: placement?.fetchFrom?.id,
       sends,
