--- a/packages/measure/src/node/placing/simulatePlacing.ts
+++ b/packages/measure/src/node/placing/simulatePlacing.ts
@@ -61,11 +61,8 @@
 const digestRoundsToAllPeers = ({ routers }: PlacingTrace): number =>
   Math.ceil((routers - 1) / DIGEST_FANOUT)
 
-function createRoutingState(
-  trace: PlacingTrace,
-  now: () => number,
-): RoutingState {
-  const cacheLocations = createCacheLocations(MAX_PROMPTS, now)
+function createRoutingState(trace: PlacingTrace): RoutingState {
+  const cacheLocations = createCacheLocations(MAX_PROMPTS)
   const staleMs =
     MAX_LOST_DIGESTS * DIGEST_INTERVAL_MS * digestRoundsToAllPeers(trace)
   return {
@@ -84,10 +81,9 @@
   const random = createRandom(seed)
   const lossRandom = createRandom(seed + 1)
   const queue = createEventQueue()
-  const now = (): number => queue.nowMs
-  const shared = createRoutingState(trace, now)
+  const shared = createRoutingState(trace)
   const states = Array.from({ length: trace.routers }, () =>
-    sharing === StateSharing.Instant ? shared : createRoutingState(trace, now),
+    sharing === StateSharing.Instant ? shared : createRoutingState(trace),
   )
   let targets = Array.from({ length: trace.targets }, (_, i) => createTarget(i))
   const inFlight = new Map<string, number>()
--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -1,5 +1,4 @@
 import type { ServerResponse } from 'node:http'
-import { setTimeout as sleep } from 'node:timers/promises'
 import { TargetOutcome } from '@auburnbay/core/health/targetOutcome'
 import { combineVerdicts } from '@auburnbay/core/verdict/attemptProgress'
 import { Verdict } from '@auburnbay/core/verdict/verdict'
@@ -37,7 +36,6 @@
 import { createResponseRelay } from './createResponseRelay.js'
 import { NextStep } from './nextStep.js'
 import { RelayOutcome } from './relayOutcome.js'
-import { targetSendOf } from './targetSendOf.js'
 
 /** Maximum number of sends of one request, including refused and undelivered ones. */
 const MAX_SENDS = 4
@@ -64,11 +62,6 @@
   dispatch(call: Call, res: ServerResponse): Promise<DispatchOutcome>
 }
 
-/** Waits for `ms` milliseconds or until the call is aborted. */
-async function wait(ms: number, signal: AbortSignal): Promise<void> {
-  await sleep(ms, undefined, { signal }).catch(() => undefined)
-}
-
 /** Creates a dispatcher. */
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const headerTimeout = createHeaderTimeout()
@@ -172,24 +165,34 @@
     placement: Placement,
     progress: CallProgress,
   ): Promise<NextStep> {
-    const { target, prefillTokens } = placement
+    const { target, fetchFrom, prefillTokens } = placement
     progress.placement = placement
     progress.triedTargets.add(target.id)
     progress.sends += 1
+    const { customer, route, signal } = call
+    const lastEventId = progress.relay.lastEventId
+    const sentAtMs = now()
     load.recordStart(target.id, prefillTokens)
     metrics.recordPlacement(call.service, placement.reason, prefillTokens)
     selector.recordSent(call, target)
-    if (placement.waitMs > 0) await wait(placement.waitMs, call.signal)
-    const sentAtMs = now()
     stallDetector.recordSent(target.id, sentAtMs)
     try {
-      const result = await client.send(
-        targetSendOf(call, placement, {
-          sentAtMs,
-          headerTimeoutMs: headerTimeoutMs(call, progress, sentAtMs),
-          lastEventId: progress.relay.lastEventId,
-        }),
-      )
+      const result = await client.send({
+        call,
+        signal,
+        headerTimeoutMs: headerTimeoutMs(call, progress, sentAtMs),
+        options: {
+          target,
+          bodyBytes: call.body.length,
+          remainingMs: call.deadlineAtMs - sentAtMs,
+          ...(customer && { customer: customer.name }),
+          ...(route.cachesPrompts && {
+            priority: customer?.priority ?? route.priority,
+          }),
+          ...(fetchFrom && { fetchFrom }),
+          ...(lastEventId !== undefined && { lastEventId }),
+        },
+      })
       load.releasePromptTokens(target.id, prefillTokens)
       if (result.isErr()) {
         if (result.error.verdict === Verdict.NotRun)
@@ -197,8 +200,7 @@
         return handleFailure(call, target, progress, result.error)
       }
       const headMs = now() - sentAtMs
-      headerTimeout.recordHeaderTime(call.route.name, headMs)
-      selector.recordResponse(call, placement, headMs)
+      headerTimeout.recordHeaderTime(route.name, headMs)
       metrics.recordResponseHead(call.service, headMs / MS_PER_S)
       stallDetector.recordActivity(target.id, now())
       return await handleResponse(call, target, progress, result.value)
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -67,10 +67,7 @@
     return constants.MAX_LOST_DIGESTS * constants.DIGEST_INTERVAL_MS * rounds
   })
   const stallDetector = createStallDetector(constants.STALL_TIMEOUT_MS)
-  const cacheLocations = createCacheLocations(
-    constants.MAX_CACHE_LOCATIONS,
-    now,
-  )
+  const cacheLocations = createCacheLocations(constants.MAX_CACHE_LOCATIONS)
   const metrics = createRouterMetrics()
   const health = createTargetHealth(HEALTH_OPTIONS, (target, change) => {
     log.write(LogEvent.TargetHealth, { target: target.id, change })
--- a/packages/router/src/node/routing/__tests__/holderLoss.test.ts
+++ b/packages/router/src/node/routing/__tests__/holderLoss.test.ts
@@ -39,7 +39,7 @@
   const selector = createTargetSelector({
     targetList,
     load: createFleetLoad(() => 1_000),
-    cacheLocations: createCacheLocations(1_000, now),
+    cacheLocations: createCacheLocations(1_000),
     health,
     stallDetector: createStallDetector(1_000),
     sharesCache: () => true,
--- a/packages/router/src/node/routing/__tests__/recoverCacheLocations.test.ts
+++ b/packages/router/src/node/routing/__tests__/recoverCacheLocations.test.ts
@@ -17,7 +17,6 @@
   slots: 4,
   draining: false,
 }))
-const now = () => 0
 const ROUTERS = ['r1', 'r2', 'r3', 'r4']
 
 const promptOf = ({ id }: Target): string => `prompt of ${id}`
@@ -30,7 +29,7 @@
     Promise.resolve([promptOf(target)]),
 ) {
   const asked: string[] = []
-  const cacheLocations = createCacheLocations(100, now)
+  const cacheLocations = createCacheLocations(100)
   await recoverCacheLocations({
     router,
     inventory: {
--- a/packages/router/src/node/routing/createTargetSelector.ts
+++ b/packages/router/src/node/routing/createTargetSelector.ts
@@ -7,7 +7,6 @@
 import { affinityKey } from './affinityKey.js'
 import type { CacheLocations } from './createCacheLocations.js'
 import type { FleetLoad } from './createFleetLoad.js'
-import { createPrefillRates } from './createPrefillRates.js'
 import type { Placement } from './placement.js'
 import { PlacementReason } from './placementReason.js'
 import { selectTarget } from './selectTarget.js'
@@ -33,8 +32,6 @@
   select(call: Call, tried: ReadonlySet<string>): Placement | undefined
   /** Records that a call is sent to a target. */
   recordSent(call: Call, target: Target): void
-  /** Records the time from a send to the head of its response. */
-  recordResponse(call: Call, placement: Placement, headMs: number): void
   /** Records that a target did not run a call. */
   recordNotRun(call: Call, target: Target): void
 }
@@ -49,18 +46,12 @@
   return tokens
 }
 
-/** Multiple of the expected prefill time after which most prefills are complete. */
-const PREFILL_MARGIN = 1.25
-/** Largest part of the target latency that a request waits for the prefill of another. */
-const MAX_WAIT_FRACTION = 0.25
-
 /** Creates a target selector. */
 export function createTargetSelector(
   options: TargetSelectorOptions,
 ): TargetSelector {
   const { targetList, load, cacheLocations, health, stallDetector } = options
   const { sharesCache, now } = options
-  const prefillRates = createPrefillRates()
 
   /** Returns a holder to fetch the prompt from; one that has crashed would only delay the request. */
   function findSource(
@@ -82,23 +73,6 @@
   const ownTokens = ({ request }: Call): number =>
     request.promptParts.at(-1)?.tokens ?? 0
 
-  /**
-   * Returns how long the target still prefills the shared part for the request
-   * that brought it there. Answers a prompt that many request at once: each
-   * request sent earlier would prefill it again and delay the first one.
-   */
-  function prefillWaitMs(call: Call, target: Target): number {
-    const key = keyOf(call)
-    if (key === undefined) return 0
-    const { promptParts } = call.request
-    const sharedTokens = tokensOf(promptParts) - ownTokens(call)
-    const expectedMs =
-      PREFILL_MARGIN * prefillRates.expectedMs(call.service, sharedTokens)
-    const remainingMs = expectedMs - cacheLocations.knownForMs(key, target.id)
-    const maxMs = MAX_WAIT_FRACTION * call.route.targetLatencyMs
-    return Math.max(0, Math.min(maxMs, remainingMs))
-  }
-
   return {
     select(call, tried) {
       const { service, request } = call
@@ -123,13 +97,9 @@
       })
       if (!selected) return undefined
       if (selected.reason === PlacementReason.NoPrompt)
-        return { ...selected, prefillTokens: 0, waitMs: 0 }
+        return { ...selected, prefillTokens: 0 }
       if (cachedOn.includes(selected.target.id))
-        return {
-          ...selected,
-          prefillTokens: ownTokens(call),
-          waitMs: prefillWaitMs(call, selected.target),
-        }
+        return { ...selected, prefillTokens: ownTokens(call) }
       const isListed = ready.some(({ id }) => cachedOn.includes(id))
       const reason =
         selected.reason === PlacementReason.HolderLost && isListed
@@ -140,7 +110,6 @@
         target: selected.target,
         reason,
         prefillTokens: fetchFrom ? ownTokens(call) : promptTokens,
-        waitMs: 0,
         ...(fetchFrom && { fetchFrom }),
       }
     },
@@ -151,9 +120,6 @@
       cacheLocations.add(key, target.id)
       if (isNew) options.onNewPrompt()
     },
-    recordResponse({ service }, { fetchFrom, prefillTokens }, headMs) {
-      if (!fetchFrom) prefillRates.record(service, prefillTokens, headMs)
-    },
     recordNotRun(call, target) {
       const key = keyOf(call)
       if (key !== undefined) cacheLocations.remove(key, target.id)
--- a/packages/router/src/node/routing/placement.ts
+++ b/packages/router/src/node/routing/placement.ts
@@ -9,6 +9,4 @@
   readonly fetchFrom?: Target
   /** Prompt tokens that the target has neither cached nor can fetch. */
   readonly prefillTokens: number
-  /** Milliseconds to wait before the send, until the target has prefilled the shared part for an earlier request. */
-  readonly waitMs: number
 }
