--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -36,6 +36,8 @@
 import { createResponseRelay } from './createResponseRelay.js'
 import { NextStep } from './nextStep.js'
 import { RelayOutcome } from './relayOutcome.js'
+import { targetSendOf } from './targetSendOf.js'
+import { waitForCacheLocation } from './waitForCacheLocation.js'
 
 /** Maximum number of sends of one request, including refused and undelivered ones. */
 const MAX_SENDS = 4
@@ -51,6 +53,8 @@
   readonly client: TargetClient
   readonly protocol: TargetProtocol
   readonly retryBudgetFor: (service: string) => RetryBudget
+  /** Returns the milliseconds until the cache locations of a starting router are complete; 0 once they are. */
+  readonly recoveryMs: () => number
   readonly log: DecisionLog
   readonly metrics: RouterMetrics
   /** Monotonic clock, in milliseconds. */
@@ -165,34 +169,23 @@
     placement: Placement,
     progress: CallProgress,
   ): Promise<NextStep> {
-    const { target, fetchFrom, prefillTokens } = placement
+    const { target, prefillTokens } = placement
     progress.placement = placement
     progress.triedTargets.add(target.id)
     progress.sends += 1
-    const { customer, route, signal } = call
-    const lastEventId = progress.relay.lastEventId
     const sentAtMs = now()
     load.recordStart(target.id, prefillTokens)
     metrics.recordPlacement(call.service, placement.reason, prefillTokens)
     selector.recordSent(call, target)
     stallDetector.recordSent(target.id, sentAtMs)
     try {
-      const result = await client.send({
-        call,
-        signal,
-        headerTimeoutMs: headerTimeoutMs(call, progress, sentAtMs),
-        options: {
-          target,
-          bodyBytes: call.body.length,
-          remainingMs: call.deadlineAtMs - sentAtMs,
-          ...(customer && { customer: customer.name }),
-          ...(route.cachesPrompts && {
-            priority: customer?.priority ?? route.priority,
-          }),
-          ...(fetchFrom && { fetchFrom }),
-          ...(lastEventId !== undefined && { lastEventId }),
-        },
-      })
+      const result = await client.send(
+        targetSendOf(call, placement, {
+          sentAtMs,
+          headerTimeoutMs: headerTimeoutMs(call, progress, sentAtMs),
+          lastEventId: progress.relay.lastEventId,
+        }),
+      )
       load.releasePromptTokens(target.id, prefillTokens)
       if (result.isErr()) {
         if (result.error.verdict === Verdict.NotRun)
@@ -200,7 +193,7 @@
         return handleFailure(call, target, progress, result.error)
       }
       const headMs = now() - sentAtMs
-      headerTimeout.recordHeaderTime(route.name, headMs)
+      headerTimeout.recordHeaderTime(call.route.name, headMs)
       metrics.recordResponseHead(call.service, headMs / MS_PER_S)
       stallDetector.recordActivity(target.id, now())
       return await handleResponse(call, target, progress, result.value)
@@ -218,6 +211,10 @@
     const progress = createCallProgress(relay)
     const retryBudget = options.retryBudgetFor(call.service)
     retryBudget.recordFirstAttempt(now())
+    await waitForCacheLocation(call, {
+      isLocated: (located) => selector.isLocated(located),
+      recoveryMs: options.recoveryMs,
+    })
 
     function tryChargeRetry(): boolean {
       if (!retryBudget.tryAcquire(now())) return false
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -21,7 +21,7 @@
 import type { RouterPorts } from './routerPorts.js'
 import { createFleetLoad } from './routing/createFleetLoad.js'
 import { createCacheLocations } from './routing/createCacheLocations.js'
-import { recoverCacheLocations } from './routing/recoverCacheLocations.js'
+import { createCacheRecovery } from './routing/createCacheRecovery.js'
 import { createTargetSelector } from './routing/createTargetSelector.js'
 import { createLogFollowers } from './sources/createLogFollowers.js'
 import type { RouterSettings } from './settings/settingsSchema.js'
@@ -122,8 +122,7 @@
     !stopping && configurationStore.current !== undefined && targets.isLoaded()
   const sharesCache = (service: string): boolean =>
     configurationStore.current?.services.get(service)?.sharesCache ?? false
-  const recovery = new AbortController()
-  void recoverCacheLocations({
+  const cacheRecovery = createCacheRecovery({
     router: settings.router.id,
     inventory: ports.cacheInventory,
     cacheLocations,
@@ -133,7 +132,7 @@
         : undefined,
     peers: peers.current,
     log,
-    signal: recovery.signal,
+    now,
   })
 
   const stopWatchingPauses = watchPauses(now, () => {
@@ -179,6 +178,7 @@
       client,
       protocol: ports.targetProtocol,
       retryBudgetFor,
+      recoveryMs: () => cacheRecovery.remainingMs(),
       log,
       metrics,
       now,
@@ -222,7 +222,7 @@
     log.write(LogEvent.Stopped, { brokenOff: callers.inFlight })
     callers.close()
     stopWatchingPauses()
-    recovery.abort()
+    cacheRecovery.stop()
     configurations.stop()
     targets.stop()
     peers.current?.close()
--- a/packages/router/src/node/routing/__tests__/recoverCacheLocations.test.ts
+++ b/packages/router/src/node/routing/__tests__/createCacheRecovery.test.ts
@@ -6,8 +6,8 @@
 import { createCacheLocations } from '../createCacheLocations.js'
 import {
   type RecoveryPeers,
-  recoverCacheLocations,
-} from '../recoverCacheLocations.js'
+  createCacheRecovery,
+} from '../createCacheRecovery.js'
 
 const TARGETS = Array.from({ length: 9 }, (_, i): Target => ({
   id: `t${i}`,
@@ -17,6 +17,7 @@
   slots: 4,
   draining: false,
 }))
+const now = () => 0
 const ROUTERS = ['r1', 'r2', 'r3', 'r4']
 
 const promptOf = ({ id }: Target): string => `prompt of ${id}`
@@ -30,7 +31,7 @@
 ) {
   const asked: string[] = []
   const cacheLocations = createCacheLocations(100)
-  await recoverCacheLocations({
+  const recovery = createCacheRecovery({
     router,
     inventory: {
       list: (target) => {
@@ -48,12 +49,13 @@
       ...peers,
     },
     log: { write: () => undefined },
-    signal: new AbortController().signal,
+    now,
   })
+  await recovery.done
   return { asked, cacheLocations }
 }
 
-describe('recoverCacheLocations', () => {
+describe('createCacheRecovery', () => {
   it('asks each target once in the whole fleet and reports its prompts to peers', async () => {
     const fleet = await Promise.all(
       ROUTERS.map((router) => recover(router, {})),
--- a/packages/router/src/node/routing/createCacheLocations.ts
+++ b/packages/router/src/node/routing/createCacheLocations.ts
@@ -25,7 +25,7 @@
 /** Targets remembered for one prompt. */
 const MAX_TARGETS_PER_PROMPT = 3
 /** Locations that are reported to peers at a time. */
-const MAX_UPDATES = 200
+const MAX_UPDATES = 500
 /** Locations queued for peers; further ones are not reported. */
 const MAX_QUEUED_UPDATES = 2_000
 
--- a/packages/router/src/node/routing/recoverCacheLocations.ts
+++ b/packages/router/src/node/routing/createCacheRecovery.ts
@@ -11,6 +11,8 @@
 const CHECK_MS = 10
 /** Longest wait for both lists, in milliseconds. */
 const MAX_WAIT_MS = 2_000
+/** Time from the lists until the shares of all routers are known, in milliseconds. */
+const COMPLETE_MS = 250
 /** Time until live peers are known, in milliseconds. */
 const PEERS_KNOWN_MS = 500
 /** Targets that one router asks at most; a larger share is not worth the calls. */
@@ -22,7 +24,7 @@
   'listedRouters' | 'livePeers' | 'hasEstablishedPeer' | 'scheduleBroadcast'
 >
 
-/** Options for {@link recoverCacheLocations}. */
+/** Options for {@link createCacheRecovery}. */
 export interface CacheRecoveryOptions {
   readonly router: string
   readonly inventory: CacheInventory
@@ -31,7 +33,17 @@
   readonly targets: () => readonly Target[] | undefined
   readonly peers: RecoveryPeers
   readonly log: DecisionLog
-  readonly signal: AbortSignal
+  /** Monotonic clock, in milliseconds. */
+  readonly now: () => number
+}
+
+/** Recovery of cache locations after a start. */
+export interface CacheRecovery {
+  /** Returns the milliseconds until the locations are expected to be complete; 0 once they are. */
+  remainingMs(): number
+  /** Resolves when all targets of this router's share were asked. */
+  readonly done: Promise<void>
+  stop(): void
 }
 
 /**
@@ -39,16 +51,20 @@
  * whole fleet: targets keep their caches, but no router remembers them. Each
  * router asks its share of the targets and reports the locations to its peers.
  */
-export async function recoverCacheLocations(
+export function createCacheRecovery(
   options: CacheRecoveryOptions,
-): Promise<void> {
-  const { router, inventory, cacheLocations, peers, log, signal } = options
+): CacheRecovery {
+  const { router, inventory, cacheLocations, peers, log, now } = options
+  const stopping = new AbortController()
+  const { signal } = stopping
+  const isStopped = (): boolean => signal.aborted
+  let loadedAtMs = Infinity
   const asked = new Set<string>()
 
   async function ask(target: Target): Promise<void> {
     asked.add(target.id)
     const prompts = await inventory.list(target)
-    if (signal.aborted) return
+    if (isStopped()) return
     if (!prompts) {
       log.write(LogEvent.CacheUnknown, { target: target.id })
       return
@@ -73,14 +89,30 @@
     await sleep(ms, undefined, { signal }).catch(() => undefined)
   }
 
-  for (let waitedMs = 0; waitedMs < MAX_WAIT_MS; waitedMs += CHECK_MS) {
-    if (options.targets() && peers.listedRouters()) break
-    await pause(CHECK_MS)
-    if (signal.aborted) return
+  async function waitForLists(): Promise<void> {
+    for (let waitedMs = 0; waitedMs < MAX_WAIT_MS; waitedMs += CHECK_MS) {
+      if (isStopped() || (options.targets() && peers.listedRouters())) return
+      await pause(CHECK_MS)
+    }
+  }
+
+  async function run(): Promise<void> {
+    await waitForLists()
+    loadedAtMs = now()
+    if (isStopped()) return
+    await askShare(peers.listedRouters() ?? [])
+    // Listed routers may be gone; live ones take over their shares.
+    await pause(PEERS_KNOWN_MS)
+    if (isStopped() || peers.hasEstablishedPeer()) return
+    await askShare(peers.livePeers())
+  }
+
+  return {
+    remainingMs: () =>
+      Math.max(0, Math.min(COMPLETE_MS, loadedAtMs + COMPLETE_MS - now())),
+    done: run(),
+    stop() {
+      stopping.abort()
+    },
   }
-  await askShare(peers.listedRouters() ?? [])
-  // Listed routers may be gone; live ones take over their shares.
-  await pause(PEERS_KNOWN_MS)
-  if (signal.aborted || peers.hasEstablishedPeer()) return
-  await askShare(peers.livePeers())
 }
--- a/packages/router/src/node/routing/createTargetSelector.ts
+++ b/packages/router/src/node/routing/createTargetSelector.ts
@@ -30,6 +30,8 @@
 export interface TargetSelector {
   /** Returns the placement of a call's next send; undefined if there is no target. */
   select(call: Call, tried: ReadonlySet<string>): Placement | undefined
+  /** Whether the prompt of a call needs no cache location or has a known one. */
+  isLocated(call: Call): boolean
   /** Records that a call is sent to a target. */
   recordSent(call: Call, target: Target): void
   /** Records that a target did not run a call. */
@@ -113,6 +115,10 @@
         ...(fetchFrom && { fetchFrom }),
       }
     },
+    isLocated(call) {
+      const key = keyOf(call)
+      return key === undefined || cacheLocations.cachedOn(key).length > 0
+    },
     recordSent(call, target) {
       const key = keyOf(call)
       if (key === undefined) return
