Keep the location of a prompt whose holder refused one request

Cause: a refusal removed the location although the target had cached the prompt before; the next request for it was placed as a new prompt and prefilled again.

Change: only the location that the refused send itself added is removed.

--- a/packages/router/src/node/routing/__tests__/holderLoss.test.ts
+++ b/packages/router/src/node/routing/__tests__/holderLoss.test.ts
@@ -32,6 +32,7 @@
 function createPlay() {
   let nowMs = 0
   let requests = 0
+  let refuses = false
   const now = (): number => nowMs
   const targetList = createTargetList(0, () => DRAIN_MS)
   const caches = new Map<string, Set<string>>()
@@ -85,6 +86,10 @@
     assert.ok(placement)
     const { target, reason, fetchFrom } = placement
     selector.recordSent(request, target)
+    if (refuses) {
+      selector.recordNotRun(request, placement)
+      return { prefilled: 0, reason }
+    }
     const cache = caches.get(target.id)
     assert.ok(cache)
     const fetched = fetchFrom && caches.get(fetchFrom.id)?.has(prompt)
@@ -113,6 +118,10 @@
       health.recordUnreachable(id, nowMs)
       targetList.remove(id, nowMs)
     },
+    /** Sets whether targets refuse requests as not run. */
+    setRefuses(value: boolean): void {
+      refuses = value
+    },
     /** Removes a target without notice; it serves for the drain time. */
     removeFromList(id: string): void {
       targetList.remove(id, nowMs)
@@ -135,6 +144,17 @@
     assert.equal(countFullPrefills(answers), 0)
   })
 
+  it('does not move prompts away from holders that refused a request', () => {
+    const play = createPlay()
+    play.play(2)
+    play.setRefuses(true)
+    play.play(1)
+    play.setRefuses(false)
+    const answers = play.play(1)
+    assert.ok(answers.every(({ reason }) => reason === PlacementReason.Holder))
+    assert.equal(countFullPrefills(answers), 0)
+  })
+
   it('fetches nothing from a target that refuses connections', () => {
     const play = createPlay()
     play.play(5)
--- a/packages/router/src/node/routing/createTargetSelector.ts
+++ b/packages/router/src/node/routing/createTargetSelector.ts
@@ -34,8 +34,8 @@
   isLocated(call: Call): boolean
   /** Records that a call is sent to a target. */
   recordSent(call: Call, target: Target): void
-  /** Records that a target did not run a call. */
-  recordNotRun(call: Call, target: Target): void
+  /** Records that the target of a placement did not run the call. */
+  recordNotRun(call: Call, placement: Placement): void
 }
 
 function keyOf({ request, route }: Call): string | undefined {
@@ -126,7 +126,9 @@
       cacheLocations.add(key, target.id)
       if (isNew) options.onNewPrompt()
     },
-    recordNotRun(call, target) {
+    recordNotRun(call, { target, reason }) {
+      // A holder that refuses one request still caches the prompt.
+      if (reason === PlacementReason.Holder) return
       const key = keyOf(call)
       if (key !== undefined) cacheLocations.remove(key, target.id)
     },
