--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -189,7 +189,7 @@
       load.releasePromptTokens(target.id, prefillTokens)
       if (result.isErr()) {
         if (result.error.verdict === Verdict.NotRun)
-          selector.recordNotRun(call, placement)
+          selector.recordNotRun(call, placement, result.error.cause)
         return handleFailure(call, target, progress, result.error)
       }
       const headMs = now() - sentAtMs
--- a/packages/router/src/node/routing/__tests__/holderLoss.test.ts
+++ b/packages/router/src/node/routing/__tests__/holderLoss.test.ts
@@ -6,6 +6,7 @@
 import { HEALTH_OPTIONS } from '../../health/constants.js'
 import { createStallDetector } from '../../health/createStallDetector.js'
 import { createTargetHealth } from '../../health/createTargetHealth.js'
+import { TargetFailureCause } from '../../targets/targetFailure.js'
 import { createTargetList } from '../../targets/createTargetList.js'
 import { createCacheLocations } from '../createCacheLocations.js'
 import { createFleetLoad } from '../createFleetLoad.js'
@@ -87,7 +88,7 @@
     const { target, reason, fetchFrom } = placement
     selector.recordSent(request, target)
     if (refuses) {
-      selector.recordNotRun(request, placement)
+      selector.recordNotRun(request, placement, TargetFailureCause.Refused)
       return { prefilled: 0, reason }
     }
     const cache = caches.get(target.id)
--- a/packages/router/src/node/routing/createTargetSelector.ts
+++ b/packages/router/src/node/routing/createTargetSelector.ts
@@ -4,6 +4,7 @@
 import type { TargetHealth } from '../health/createTargetHealth.js'
 import type { TargetList } from '../targets/createTargetList.js'
 import type { Target } from '../targets/target.js'
+import { TargetFailureCause } from '../targets/targetFailure.js'
 import { affinityKey } from './affinityKey.js'
 import type { CacheLocations } from './createCacheLocations.js'
 import type { FleetLoad } from './createFleetLoad.js'
@@ -35,7 +36,11 @@
   /** Records that a call is sent to a target. */
   recordSent(call: Call, target: Target): void
   /** Records that the target of a placement did not run the call. */
-  recordNotRun(call: Call, placement: Placement): void
+  recordNotRun(
+    call: Call,
+    placement: Placement,
+    cause: TargetFailureCause,
+  ): void
 }
 
 function keyOf({ request, route }: Call): string | undefined {
@@ -126,9 +131,10 @@
       cacheLocations.add(key, target.id)
       if (isNew) options.onNewPrompt()
     },
-    recordNotRun(call, { target, reason }) {
+    recordNotRun(call, { target, reason }, cause) {
+      const isHolder = reason === PlacementReason.Holder
       // A holder that refuses one request still caches the prompt.
-      if (reason === PlacementReason.Holder) return
+      if (isHolder && cause === TargetFailureCause.Refused) return
       const key = keyOf(call)
       if (key !== undefined) cacheLocations.remove(key, target.id)
     },
