--- a/packages/router/src/node/routing/__tests__/holderLoss.test.ts
+++ b/packages/router/src/node/routing/__tests__/cacheTargetLoss.test.ts
@@ -134,25 +134,25 @@
   answers.filter(({ prefilled }) => prefilled > OWN_TOKENS).length
 
 describe('the loss of targets that cache returning prompts', () => {
-  it('lets the next holder fetch from a target that was removed and still serves', () => {
+  it('lets the next target fetch from one that was removed and still serves', () => {
     const play = createPlay()
     play.play(5)
     play.removeFromList('t0')
     const answers = play.play(1)
     assert.ok(
-      answers.some(({ reason }) => reason === PlacementReason.HolderLost),
+      answers.some(({ reason }) => reason === PlacementReason.CacheLost),
     )
     assert.equal(countFullPrefills(answers), 0)
   })
 
-  it('does not move prompts away from holders that refused a request', () => {
+  it('does not move prompts away from cache targets that refused a request', () => {
     const play = createPlay()
     play.play(2)
     play.setRefuses(true)
     play.play(1)
     play.setRefuses(false)
     const answers = play.play(1)
-    assert.ok(answers.every(({ reason }) => reason === PlacementReason.Holder))
+    assert.ok(answers.every(({ reason }) => reason === PlacementReason.Cached))
     assert.equal(countFullPrefills(answers), 0)
   })
 
@@ -162,7 +162,7 @@
     play.crash('t0')
     const lost = play
       .play(1)
-      .filter(({ reason }) => reason === PlacementReason.HolderLost)
+      .filter(({ reason }) => reason === PlacementReason.CacheLost)
     assert.ok(lost.length > 0)
     assert.equal(countFullPrefills(lost), lost.length)
   })
--- a/packages/router/src/node/routing/createTargetSelector.ts
+++ b/packages/router/src/node/routing/createTargetSelector.ts
@@ -60,7 +60,7 @@
   const { targetList, load, cacheLocations, health, stallDetector } = options
   const { sharesCache, now } = options
 
-  /** Returns a holder to fetch the prompt from; one that has crashed would only delay the request. */
+  /** Returns a cache target to fetch the prompt from; one that has crashed would only delay the request. */
   function findSource(
     service: string,
     cachedOn: readonly string[],
@@ -76,7 +76,7 @@
     return undefined
   }
 
-  /** Returns what a holder must prefill: the part that belongs to the request alone. */
+  /** Returns what a cache target must prefill: the part that belongs to the request alone. */
   const ownTokens = ({ request }: Call): number =>
     request.promptParts.at(-1)?.tokens ?? 0
 
@@ -109,8 +109,8 @@
         return { ...selected, prefillTokens: ownTokens(call) }
       const isListed = ready.some(({ id }) => cachedOn.includes(id))
       const reason =
-        selected.reason === PlacementReason.HolderLost && isListed
-          ? PlacementReason.HolderExcluded
+        selected.reason === PlacementReason.CacheLost && isListed
+          ? PlacementReason.CacheExcluded
           : selected.reason
       const fetchFrom = findSource(service, cachedOn, nowMs)
       return {
@@ -132,9 +132,9 @@
       if (isNew) options.onNewPrompt()
     },
     recordNotRun(call, { target, reason }, cause) {
-      const isHolder = reason === PlacementReason.Holder
-      // A holder that refuses one request still caches the prompt.
-      if (isHolder && cause === TargetFailureCause.Refused) return
+      const wasCached = reason === PlacementReason.Cached
+      // A cache target that refuses one request still caches the prompt.
+      if (wasCached && cause === TargetFailureCause.Refused) return
       const key = keyOf(call)
       if (key !== undefined) cacheLocations.remove(key, target.id)
     },
--- a/packages/router/src/node/routing/placementReason.ts
+++ b/packages/router/src/node/routing/placementReason.ts
@@ -3,13 +3,13 @@
   /** The request has no prompt that targets cache. */
   NoPrompt = 'no-prompt',
   /** The target caches the prompt. */
-  Holder = 'holder',
+  Cached = 'cached',
   /** No target is known to cache the prompt. */
   NewPrompt = 'new-prompt',
-  /** Every holder has left the target list or is draining. */
-  HolderLost = 'holder-lost',
-  /** Every listed holder was tried, is failing, stalled or avoided. */
-  HolderExcluded = 'holder-excluded',
-  /** Every usable holder exceeds the load bound. */
-  HolderOverBound = 'holder-over-bound',
+  /** Every cache target has left the target list or is draining. */
+  CacheLost = 'cache-lost',
+  /** Every listed cache target was tried, is failing, stalled or avoided. */
+  CacheExcluded = 'cache-excluded',
+  /** Every usable cache target exceeds the load bound. */
+  CacheOverBound = 'cache-over-bound',
 }
--- a/packages/router/src/node/routing/selectTarget.ts
+++ b/packages/router/src/node/routing/selectTarget.ts
@@ -117,24 +117,24 @@
   if (affinity === undefined)
     return selected(findLeastLoaded(options, targets), PlacementReason.NoPrompt)
   const available = withinBound(options)
-  const holders = cachedOn.flatMap((id) =>
+  const cacheTargets = cachedOn.flatMap((id) =>
     targets.filter((target) => target.id === id),
   )
-  if (holders.length === 0) {
+  if (cacheTargets.length === 0) {
     const reason =
       cachedOn.length === 0
         ? PlacementReason.NewPrompt
-        : PlacementReason.HolderLost
+        : PlacementReason.CacheLost
     return selected(findByAffinity(options, affinity, available), reason)
   }
-  const usable = holders.filter((target) => available.includes(target))
+  const usable = cacheTargets.filter((target) => available.includes(target))
   if (usable.length > 0)
     return selected(
       findShortestPrefill(options, usable),
-      PlacementReason.Holder,
+      PlacementReason.Cached,
     )
   return selected(
     findByAffinity(options, affinity, available),
-    PlacementReason.HolderOverBound,
+    PlacementReason.CacheOverBound,
   )
 }
