Start the recovery of cache locations when the targets are known

Cause: the recovery gave up after 2 s without lists, so it did nothing in an outage of the store at the start; without a directory listing requests would have waited for locations until the end of the outage.

Change: it waits for the target list without limit, then at most 250 ms for the directory; the wait of requests ends 250 ms after the targets are known.

Run: tests with no directory, no peers and a late target list.

--- a/packages/router/src/node/routing/__tests__/createCacheRecovery.test.ts
+++ b/packages/router/src/node/routing/__tests__/createCacheRecovery.test.ts
@@ -103,6 +103,46 @@
     )
   })
 
+  it('asks all targets if neither directory nor peers are known', async () => {
+    const { asked } = await recover('r1', {
+      listedRouters: () => undefined,
+      livePeers: () => [],
+    })
+    assert.equal(asked.length, TARGETS.length)
+  })
+
+  it('waits for the target list and delays no request until then', async () => {
+    const listed: Target[] = []
+    let nowMs = 1_000
+    const asked: string[] = []
+    const recovery = createCacheRecovery({
+      router: 'r1',
+      inventory: {
+        list: ({ id }) => {
+          asked.push(id)
+          return Promise.resolve([])
+        },
+      },
+      cacheLocations: createCacheLocations(100),
+      targets: () => (listed.length > 0 ? listed : undefined),
+      peers: {
+        listedRouters: () => [],
+        livePeers: () => [],
+        hasEstablishedPeer: () => true,
+        scheduleBroadcast: () => undefined,
+      },
+      log: { write: () => undefined },
+      now: () => nowMs,
+    })
+    assert.equal(recovery.remainingMs(), 0)
+    listed.push(...TARGETS)
+    await recovery.done
+    assert.equal(asked.length, TARGETS.length)
+    assert.ok(recovery.remainingMs() > 0)
+    nowMs += 1_000
+    assert.equal(recovery.remainingMs(), 0)
+  })
+
   it('goes on without the targets that do not respond', async () => {
     const { cacheLocations } = await recover(
       'r1',
--- a/packages/router/src/node/routing/createCacheRecovery.ts
+++ b/packages/router/src/node/routing/createCacheRecovery.ts
@@ -9,9 +9,7 @@
 
 /** Interval of checks whether targets and routers are listed, in milliseconds. */
 const CHECK_MS = 10
-/** Longest wait for both lists, in milliseconds. */
-const MAX_WAIT_MS = 2_000
-/** Time from the lists until the shares of all routers are known, in milliseconds. */
+/** Time from the target list until the shares of all routers are known, in milliseconds. */
 const COMPLETE_MS = 250
 /** Time until live peers are known, in milliseconds. */
 const PEERS_KNOWN_MS = 500
@@ -39,7 +37,7 @@
 
 /** Recovery of cache locations after a start. */
 export interface CacheRecovery {
-  /** Returns the milliseconds until the locations are expected to be complete; 0 once they are. */
+  /** Returns the milliseconds until the locations are expected to be complete; 0 once they are and before targets are listed. */
   remainingMs(): number
   /** Resolves when all targets of this router's share were asked. */
   readonly done: Promise<void>
@@ -58,7 +56,7 @@
   const stopping = new AbortController()
   const { signal } = stopping
   const isStopped = (): boolean => signal.aborted
-  let loadedAtMs = Infinity
+  let loadedAtMs: number | undefined
   const asked = new Set<string>()
 
   async function ask(target: Target): Promise<void> {
@@ -89,16 +87,12 @@
     await sleep(ms, undefined, { signal }).catch(() => undefined)
   }
 
-  async function waitForLists(): Promise<void> {
-    for (let waitedMs = 0; waitedMs < MAX_WAIT_MS; waitedMs += CHECK_MS) {
-      if (isStopped() || (options.targets() && peers.listedRouters())) return
-      await pause(CHECK_MS)
-    }
-  }
-
   async function run(): Promise<void> {
-    await waitForLists()
+    while (!isStopped() && !options.targets()) await pause(CHECK_MS)
     loadedAtMs = now()
+    // The directory may be unavailable although a peer knew the targets.
+    for (let ms = 0; ms < COMPLETE_MS && !peers.listedRouters(); ms += CHECK_MS)
+      await pause(CHECK_MS)
     if (isStopped()) return
     await askShare(peers.listedRouters() ?? [])
     // Listed routers may be gone; live ones take over their shares.
@@ -109,7 +103,9 @@
 
   return {
     remainingMs: () =>
-      Math.max(0, Math.min(COMPLETE_MS, loadedAtMs + COMPLETE_MS - now())),
+      loadedAtMs === undefined
+        ? 0
+        : Math.max(0, loadedAtMs + COMPLETE_MS - now()),
     done: run(),
     stop() {
       stopping.abort()
