--- a/packages/router/src/node/health/createTargetHealth.ts
+++ b/packages/router/src/node/health/createTargetHealth.ts
@@ -5,6 +5,7 @@
 } from '@auburnbay/core/health/createServiceHealth'
 import type { HealthOptions } from '@auburnbay/core/health/healthOptions'
 import { TargetOutcome } from '@auburnbay/core/health/targetOutcome'
+import { LRUCache } from 'lru-cache'
 import type { Target } from '../targets/target.js'
 
 /** Outlier ejection of targets by the outcomes of their requests. */
@@ -20,12 +21,15 @@
   avoid(targetId: string, forMs: number, nowMs: number): void
   /** Records that a target did not accept a connection. */
   recordUnreachable(targetId: string, nowMs: number): void
-  /** Whether a target did not accept the last connection, less than {@link UNREACHABLE_MEMORY_MS} ago. */
+  /** Whether a target did not accept the last connection, in the last seconds. */
   isUnreachable(targetId: string, nowMs: number): boolean
 }
 
 /** Milliseconds after which a target that was unreachable may be reachable again. */
-export const UNREACHABLE_MEMORY_MS = 5_000
+const UNREACHABLE_MEMORY_MS = 5_000
+
+/** Unreachable targets that are remembered. */
+const MAX_UNREACHABLE = 1_000
 
 /** Creates target health in which every target is eligible. */
 export function createTargetHealth(
@@ -35,7 +39,7 @@
   const services = new Map<string, ServiceHealth>()
   const known = new Map<string, readonly Target[]>()
   const avoidedUntilMs = new Map<string, number>()
-  const unreachableAtMs = new Map<string, number>()
+  const unreachableAtMs = new LRUCache<string, number>({ max: MAX_UNREACHABLE })
 
   function healthOf(
     service: string,
