Keep digests with many cache locations within a datagram

Cause: a digest repeats its locations until every peer has received them; with 500 new ones at a time, after a restart, and 100 rounds it would exceed 64 KiB and be lost.

Change: 1,500 locations at most in one digest, the latest.

Run: test of 100 rounds, red before and green after.

--- a/packages/router/src/node/peers/__tests__/createPendingUpdates.test.ts
+++ b/packages/router/src/node/peers/__tests__/createPendingUpdates.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
+import { encode } from '@msgpack/msgpack'
 import type { CacheLocation } from '../../routing/createCacheLocations.js'
 import { createPendingUpdates } from '../createPendingUpdates.js'
 import { createPeerTable } from '../createPeerTable.js'
@@ -9,6 +10,9 @@
 const MAX_DUE = 16
 const ROUNDS = Math.ceil(PEERS / MAX_DUE)
 
+/** Payload of a UDP datagram, less what a digest has besides locations. */
+const MAX_DATAGRAM_BYTES = 60_000
+
 describe('createPendingUpdates', () => {
   it('sends a location to every peer if a digest goes to only some of them', () => {
     const table = createPeerTable({
@@ -48,4 +52,15 @@
     assert.equal(updates.next(1).length, 1)
     assert.equal(updates.next(1).length, 1)
   })
+
+  it('fit into a datagram, also in a large fleet', () => {
+    const updates = createPendingUpdates(() =>
+      Array.from({ length: 500 }, (_, i) => [`32cd762a68${i}`, 'i-de76509314']),
+    )
+    const rounds = 100
+    let bytes = 0
+    for (let i = 0; i < rounds; i += 1)
+      bytes = encode(updates.next(rounds)).length
+    assert.ok(bytes < MAX_DATAGRAM_BYTES, `${bytes} bytes`)
+  })
 })
--- a/packages/router/src/node/peers/createPendingUpdates.ts
+++ b/packages/router/src/node/peers/createPendingUpdates.ts
@@ -6,6 +6,9 @@
   next(rounds: number): readonly CacheLocation[]
 }
 
+/** Locations in one digest, which must fit into a datagram of 64 KiB at about 27 bytes each. */
+const MAX_LOCATIONS = 1_500
+
 /** Creates pending updates; `takeUpdates` returns the locations added since its last call. */
 export function createPendingUpdates(
   takeUpdates: () => CacheLocation[],
@@ -14,7 +17,7 @@
   return {
     next(rounds) {
       batches = [...batches, takeUpdates()].slice(-Math.max(1, rounds))
-      return batches.flat()
+      return batches.flat().slice(-MAX_LOCATIONS)
     },
   }
 }
