Give tests of the router one call and one digest, and followTargets no optional ports

Cause: the read of the whole change found the literal of a digest in two tests and that of a call in two; followTargets had two optional options only because its test left them out, each with a conditional spread.

Behaviour and assertions are unchanged.

--- a/packages/router/src/node/callers/__tests__/waitForCacheLocation.test.ts
+++ b/packages/router/src/node/callers/__tests__/waitForCacheLocation.test.ts
@@ -1,25 +1,18 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { testRoute } from '../../configuration/__tests__/testConfiguration.js'
-import type { Call } from '../call.js'
 import { waitForCacheLocation } from '../waitForCacheLocation.js'
+import { testCall } from './testCall.js'
 
 /** Counts the checks of a waiting call; its prompt is located after `checks` of them. */
 async function countChecks(
   checks: number,
   { recoveryMs = 250, targetLatencyMs = 400, aborted = false } = {},
 ): Promise<number> {
-  const call: Call = {
-    request: { attemptId: 'a', host: 'a.example', promptParts: [] },
-    method: 'POST',
-    path: '/',
-    rawHeaders: [],
-    body: Buffer.alloc(0),
+  const call = testCall({
     route: testRoute({ targetLatencyMs, cachesPrompts: true }),
-    service: 'service',
-    deadlineAtMs: 10_000,
-    signal: aborted ? AbortSignal.abort() : new AbortController().signal,
-  }
+    ...(aborted && { signal: AbortSignal.abort() }),
+  })
   let seen = 0
   await waitForCacheLocation(call, {
     isLocated: () => {
--- a/packages/router/src/node/peers/__tests__/cacheLocationsOf.test.ts
+++ b/packages/router/src/node/peers/__tests__/cacheLocationsOf.test.ts
@@ -2,25 +2,14 @@
 import { describe, it } from 'node:test'
 import { cacheLocationsOf } from '../cacheLocationsOf.js'
 import { decodeDigest, encodeDigest, type PeerDigest } from '../peerDigest.js'
+import { testDigest } from './testDigest.js'
 
-const DIGEST: PeerDigest = {
-  router: 'r1',
-  incarnation: 'first',
-  sequence: 1,
-  port: 7_000,
-  configurationVersion: 4,
-  configurationReadMs: 10,
-  targetsFingerprint: 1,
-  targetsReadMs: null,
-  targetsAgeMs: 10,
-  stopping: false,
-  work: [],
+const DIGEST = testDigest({
   placed: [
     ['prompt', 't1'],
     ['other', 't2'],
   ],
-  logRestores: null,
-}
+})
 
 describe('cacheLocationsOf', () => {
   it('returns locations that do not depend on the target list of the receiver', () => {
--- a/packages/router/src/node/peers/__tests__/createPeerTable.test.ts
+++ b/packages/router/src/node/peers/__tests__/createPeerTable.test.ts
@@ -1,49 +1,31 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { createPeerTable } from '../createPeerTable.js'
-import { decodeDigest, encodeDigest, type PeerDigest } from '../peerDigest.js'
+import { decodeDigest, encodeDigest } from '../peerDigest.js'
+import { testDigest } from './testDigest.js'
 
 const OPTIONS = { timeoutMs: 2_000, probeIntervalMs: 1_000, expiryMs: 60_000 }
 const MAX_DUE = 16
 
-function digest(fields: Partial<PeerDigest> = {}): PeerDigest {
-  return {
-    router: 'r1',
-    incarnation: 'first',
-    sequence: 1,
-    port: 7_000,
-    configurationVersion: 4,
-    configurationReadMs: 10,
-    targetsFingerprint: 1,
-    targetsReadMs: null,
-    targetsAgeMs: 10,
-    stopping: false,
-    work: [1, 2, 130],
-    placed: [['prompt', 1]],
-    logRestores: 3,
-    ...fields,
-  }
-}
-
 describe('createPeerTable', () => {
   it('ignores digests that arrive out of order', () => {
     const table = createPeerTable(OPTIONS)
-    assert.ok(table.update(digest({ sequence: 5 }), '10.0.0.1', 0))
-    assert.ok(!table.update(digest({ sequence: 4 }), '10.0.0.1', 1))
-    assert.ok(!table.update(digest({ sequence: 5 }), '10.0.0.1', 2))
+    assert.ok(table.update(testDigest({ sequence: 5 }), '10.0.0.1', 0))
+    assert.ok(!table.update(testDigest({ sequence: 4 }), '10.0.0.1', 1))
+    assert.ok(!table.update(testDigest({ sequence: 5 }), '10.0.0.1', 2))
   })
 
   it('accepts a restarted peer, whose sequence starts again', () => {
     const table = createPeerTable(OPTIONS)
-    table.update(digest({ sequence: 50 }), '10.0.0.1', 0)
-    const restarted = digest({ sequence: 1, incarnation: 'second' })
+    table.update(testDigest({ sequence: 50 }), '10.0.0.1', 0)
+    const restarted = testDigest({ sequence: 1, incarnation: 'second' })
     assert.ok(table.update(restarted, '10.0.0.2', 1))
     assert.equal(table.livePeers(1)[0]?.address.host, '10.0.0.2')
   })
 
   it('sends to a lost peer at longer intervals, so that it finds the fleet again', () => {
     const table = createPeerTable(OPTIONS)
-    table.update(digest(), '10.0.0.1', 0)
+    table.update(testDigest(), '10.0.0.1', 0)
     assert.equal(table.takeDue(200, MAX_DUE).length, 1)
     assert.equal(table.livePeers(5_000).length, 0)
     assert.equal(table.takeDue(5_000, MAX_DUE).length, 1)
@@ -61,7 +43,7 @@
   it('sends to a few peers at a time, least recently sent first', () => {
     const table = createPeerTable(OPTIONS)
     for (let i = 0; i < 40; i += 1)
-      table.update(digest({ router: `r${i}` }), '10.0.0.1', 0)
+      table.update(testDigest({ router: `r${i}` }), '10.0.0.1', 0)
     const lastRound = new Map<string, number>()
     for (let round = 1; round <= 30; round += 1) {
       const due = table.takeDue(round, MAX_DUE)
@@ -76,7 +58,7 @@
 
   it('excludes stopping peers from the live ones, and removes expired ones', () => {
     const table = createPeerTable(OPTIONS)
-    table.update(digest({ stopping: true }), '10.0.0.1', 0)
+    table.update(testDigest({ stopping: true }), '10.0.0.1', 0)
     assert.equal(table.livePeers(0).length, 0)
     assert.equal(table.expire(60_001)[0]?.router, 'r1')
     assert.equal(table.takeDue(60_002, MAX_DUE).length, 0)
@@ -85,7 +67,7 @@
 
 describe('decodeDigest', () => {
   it('decodes what was encoded', () => {
-    assert.deepEqual(decodeDigest(encodeDigest(digest())), digest())
+    assert.deepEqual(decodeDigest(encodeDigest(testDigest())), testDigest())
   })
 
   it('rejects other datagrams', () => {
--- a/packages/router/src/node/routing/__tests__/cacheTargetLoss.test.ts
+++ b/packages/router/src/node/routing/__tests__/cacheTargetLoss.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import type { Call } from '../../callers/call.js'
+import { testCall } from '../../callers/__tests__/testCall.js'
 import { testRoute } from '../../configuration/__tests__/testConfiguration.js'
 import { RequestKind } from '../../configuration/requestKind.js'
 import { HEALTH_OPTIONS } from '../../health/constants.js'
@@ -65,7 +65,7 @@
 
   function call(prompt: string): Answer {
     requests += 1
-    const request: Call = {
+    const request = testCall({
       request: {
         attemptId: `a${requests}`,
         host: 'a.example',
@@ -74,15 +74,10 @@
           { id: `own-${requests}`, tokens: OWN_TOKENS },
         ],
       },
-      method: 'POST',
-      path: '/',
-      rawHeaders: [],
-      body: Buffer.alloc(0),
       route: testRoute({ kind: RequestKind.Stream, cachesPrompts: true }),
       service: SERVICE,
       deadlineAtMs: nowMs + 10_000,
-      signal: new AbortController().signal,
-    }
+    })
     const placement = selector.select(request, new Set())
     assert.ok(placement)
     const { target, reason, fetchFrom } = placement
--- a/packages/router/src/node/targets/__tests__/followTargets.test.ts
+++ b/packages/router/src/node/targets/__tests__/followTargets.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from 'node:test'
 import { setImmediate as turn } from 'node:timers/promises'
 import { err, ok } from 'neverthrow'
+import { createLogRestores } from '../../sources/createLogRestores.js'
 import { SourceFault } from '../../sources/sourceFault.js'
 import type { KeyedSource, SourceEntry } from '../../sources/keyedSource.js'
 import { createTargetList } from '../createTargetList.js'
@@ -35,10 +36,12 @@
   const targetList = createTargetList(2_000, () => 2_000)
   const follower = followTargets({
     source,
+    logRestores: createLogRestores(),
     targetList,
     pollIntervalMs: 1,
     lastFleetOutageAtMs: () => lastFleetOutageAtMs,
     hasFreshReader: () => hasFreshReader,
+    hasRetryingPeer: () => false,
     onChange: () => undefined,
     log: { write: () => undefined },
     now: () => nowMs,
--- a/packages/router/src/node/targets/followTargets.ts
+++ b/packages/router/src/node/targets/followTargets.ts
@@ -15,7 +15,7 @@
 /** Options for {@link followTargets}. */
 export interface FollowTargetsOptions {
   readonly source: KeyedSource<Target>
-  readonly logRestores?: LogRestores
+  readonly logRestores: LogRestores
   readonly targetList: TargetList
   /** Milliseconds between two polls. */
   readonly pollIntervalMs: number
@@ -26,7 +26,7 @@
   /** Whether a peer polls the source for this router. */
   readonly hasFreshReader: () => boolean
   /** Whether a peer retries an unavailable source for this router. */
-  readonly hasRetryingPeer?: () => boolean
+  readonly hasRetryingPeer: () => boolean
   /** Called when a target was added or removed, or its draining state changed. */
   readonly onChange: () => void
   readonly log: DecisionLog
@@ -83,7 +83,7 @@
     confirmedAtMs = Math.max(confirmedAtMs, now() - ageMs)
   }
 
-  logRestores?.onRestore(() => {
+  logRestores.onRestore(() => {
     restoredAtMs = now()
     // Targets that registered after the copy was made register again.
     targetList.startRejoinWindow(restoredAtMs)
@@ -119,12 +119,10 @@
 
   const follower = createSourceFollower({
     source,
-    ...(logRestores && { logRestores }),
+    logRestores,
     pollIntervalMs: options.pollIntervalMs,
     hasFreshReader: () => !mustPoll && options.hasFreshReader(),
-    ...(options.hasRetryingPeer && {
-      hasRetryingPeer: options.hasRetryingPeer,
-    }),
+    hasRetryingPeer: options.hasRetryingPeer,
     onRead: () => {
       mustPoll = false
     },
