Log each retry and each refused retry with the state of its budget

Cause of the gap: a retry was only counted in auburnbay_resends_total. From the lines one could not tell whether a router had forgotten its retries at a start, counted too few routers, or sent retries that nothing had charged. Change: request-retried and retry-refused name service, cause, the router's retries in the window, its limit and the number of routers that it divides the allowance by. The charge moves to createRetryCharger.

--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -34,6 +34,7 @@
   resolveFailure,
 } from './callProgress.js'
 import { createResponseRelay } from './createResponseRelay.js'
+import { createRetryCharger } from './createRetryCharger.js'
 import { NextStep } from './nextStep.js'
 import { RelayOutcome } from './relayOutcome.js'
 import { targetSendOf } from './targetSendOf.js'
@@ -69,6 +70,7 @@
 /** Creates a dispatcher. */
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const headerTimeout = createHeaderTimeout()
+  const retryCharger = createRetryCharger(options)
   const { load, selector, health, stallDetector, client, log, metrics, now } =
     options
 
@@ -138,10 +140,9 @@
     health.recordOutcome(target, outcome, now())
     if (
       shouldRetryServerError(call, progress, response) &&
-      options.retryBudgetFor(call.service).tryAcquire(now())
+      retryCharger.tryCharge(call, progress.sends, `status-${status}`)
     ) {
       response.res.resume()
-      metrics.recordResend(call.service, `status-${status}`)
       return NextStep.RetryCharged
     }
     const relayOutcome = progress.relay.accepts(response)
@@ -209,26 +210,24 @@
   ): Promise<DispatchOutcome> {
     const relay = createResponseRelay(call, res, options.protocol)
     const progress = createCallProgress(relay)
-    const retryBudget = options.retryBudgetFor(call.service)
-    retryBudget.recordFirstAttempt(now())
+    options.retryBudgetFor(call.service).recordFirstAttempt(now())
     await waitForCacheLocation(call, {
       isLocated: (located) => selector.isLocated(located),
       recoveryMs: options.recoveryMs,
     })
 
-    function tryChargeRetry(): boolean {
-      if (!retryBudget.tryAcquire(now())) return false
-      metrics.recordResend(call.service, progress.lastCause ?? 'unknown')
-      return true
-    }
-
     while (progress.sends < MAX_SENDS && !call.signal.aborted) {
       if (call.deadlineAtMs - now() < MIN_REMAINING_MS) break
       const placement = selector.select(call, progress.triedTargets)
       if (!placement) break
       const next = await sendTo(call, placement, progress)
       if (next === NextStep.Done) break
-      if (next === NextStep.Retry && !tryChargeRetry()) break
+      const cause = progress.lastCause ?? 'unknown'
+      if (
+        next === NextStep.Retry &&
+        !retryCharger.tryCharge(call, progress.sends, cause)
+      )
+        break
     }
     const { sends, placement } = progress
     return {
--- a/packages/router/src/node/limits/createRetryBudget.ts
+++ b/packages/router/src/node/limits/createRetryBudget.ts
@@ -15,11 +15,22 @@
   readonly routerCount: () => number
 }
 
+/** Use of a retry budget by one router. */
+export interface RetryUsage {
+  /** Retries in the current window. */
+  readonly spent: number
+  /** Retries that this router may send in the window. */
+  readonly limit: number
+  /** Routers that share the allowance. */
+  readonly routers: number
+}
+
 /** Keeps the retries to one service within the fleet's bound. */
 export interface RetryBudget {
   recordFirstAttempt(nowMs: number): void
   /** Consumes one retry; returns false if this router's share is used up. */
   tryAcquire(nowMs: number): boolean
+  usage(nowMs: number): RetryUsage
 }
 
 /** Fraction of the bound that routers use; the rest covers one router more than counted. */
@@ -51,20 +62,26 @@
   const retries = createBuckets()
   const secondOf = (nowMs: number) => Math.floor(nowMs / MS_PER_S)
 
+  function usage(nowMs: number): RetryUsage {
+    const { ratio, allowance, windowS } = options.bounds()
+    const second = secondOf(nowMs)
+    const routers = Math.max(1, options.routerCount())
+    const earned = ratio * requests.sum(second, windowS)
+    const limit = USED_FRACTION * (earned + allowance / routers)
+    // A window may begin within a second, so one more bucket is summed.
+    return { spent: retries.sum(second, windowS + 1), limit, routers }
+  }
+
   return {
     recordFirstAttempt(nowMs) {
       requests.add(secondOf(nowMs))
     },
     tryAcquire(nowMs) {
-      const { ratio, allowance, windowS } = options.bounds()
-      const second = secondOf(nowMs)
-      const earned = ratio * requests.sum(second, windowS)
-      const allowanceShare = allowance / Math.max(1, options.routerCount())
-      // A window may begin within a second, so one more bucket is summed.
-      const spent = retries.sum(second, windowS + 1)
-      if (spent + 1 > USED_FRACTION * (earned + allowanceShare)) return false
-      retries.add(second)
+      const { spent, limit } = usage(nowMs)
+      if (spent + 1 > limit) return false
+      retries.add(secondOf(nowMs))
       return true
     },
+    usage,
   }
 }
--- a/packages/router/src/node/logging/logEvent.ts
+++ b/packages/router/src/node/logging/logEvent.ts
@@ -23,6 +23,8 @@
   PeerLost = 'peer-lost',
   PeerFailed = 'peer-failed',
   RequestSent = 'request-sent',
+  RequestRetried = 'request-retried',
+  RetryRefused = 'retry-refused',
   RequestEnded = 'request-ended',
   RequestRefused = 'request-refused',
   LinesDropped = 'lines-dropped',
