Divide the retry allowance by all routers of the fleet, not by those in touch

Cause: a router took the peers whose digests had arrived in the last 2 s for the whole fleet. After a start it counts 1, 2, 3, ... and takes half, a third, ... of the allowance; while the log service is away nothing but the probes of others tells it of more, and a partition halves the count on both sides. Class of fault: a bound that is safe only if a live view is complete. Change: createFleetSize counts routers of the directory and senders of digests for 15 min after they were last seen. Before the directory was listed the allowance is not used at all; what a router's own requests earn is. The count of live peers stays where it is right: for how old a digest's load may be. Why it works: shares of the same whole, divided by at least the number of routers that spend, sum up to no more than it.

--- a/packages/router/src/node/constants.ts
+++ b/packages/router/src/node/constants.ts
@@ -36,8 +36,8 @@
 export const STOP_MARGIN_MS = 400
 /** Interval of checks whether all requests have ended, in milliseconds. */
 export const STOP_CHECK_MS = 50
-/** Routers assumed to share the retry budget while no peer is known. */
-export const DEFAULT_ROUTER_COUNT = 10
+/** Milliseconds for which an unreachable router counts in the fleet's size; partitions between regions last minutes. */
+export const ROUTER_MEMORY_MS = 15 * 60_000
 /** Prompts whose cache locations a router remembers, at about 200 bytes each. */
 export const MAX_CACHE_LOCATIONS = 10_000
 /** Milliseconds without a turn of the event loop after which the target list is invalidated. */
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -16,6 +16,7 @@
 import { createReadinessServer } from './stopping/createReadinessServer.js'
 import { createMetricsServer } from './metrics/createMetricsServer.js'
 import { createRouterMetrics } from './metrics/createRouterMetrics.js'
+import { createFleetSize } from './peers/createFleetSize.js'
 import { createPeers, type Peers } from './peers/createPeers.js'
 import { createRouterState } from './peers/createRouterState.js'
 import type { RouterPorts } from './routerPorts.js'
@@ -62,12 +63,13 @@
   )
   const load = createFleetLoad(() => {
     const rounds = Math.ceil(
-      (peers.current?.routerCount() ?? 1) / constants.DIGEST_FANOUT,
+      ((peers.current?.livePeers().length ?? 0) + 1) / constants.DIGEST_FANOUT,
     )
     return constants.MAX_LOST_DIGESTS * constants.DIGEST_INTERVAL_MS * rounds
   })
   const stallDetector = createStallDetector(constants.STALL_TIMEOUT_MS)
   const cacheLocations = createCacheLocations(constants.MAX_CACHE_LOCATIONS)
+  const fleetSize = createFleetSize(settings.router.id)
   const metrics = createRouterMetrics()
   const health = createTargetHealth(HEALTH_OPTIONS, (target, change) => {
     log.write(LogEvent.TargetHealth, { target: target.id, change })
@@ -111,6 +113,7 @@
     state,
     load,
     cacheLocations,
+    fleetSize,
     directory: ports.directory,
     logRestores: ports.logRestores,
     isStopping: () => stopping,
@@ -146,8 +149,7 @@
       allowance: settings.bounds.retryAllowance,
       windowS: settings.bounds.retryWindowS,
     }),
-    routerCount: () =>
-      peers.current?.routerCount() ?? constants.DEFAULT_ROUTER_COUNT,
+    routerCount: () => fleetSize.count(now()),
   })
 
   const client = createTargetClient({
--- a/packages/router/src/node/limits/createRetryBudget.ts
+++ b/packages/router/src/node/limits/createRetryBudget.ts
@@ -11,8 +11,8 @@
 /** Options for {@link createRetryBudget}. */
 export interface RetryBudgetOptions {
   readonly bounds: () => RetryBounds
-  /** Returns the number of routers that share the allowance. */
-  readonly routerCount: () => number
+  /** Returns the number of routers that share the allowance; undefined while it is unknown. */
+  readonly routerCount: () => number | undefined
 }
 
 /** Use of a retry budget by one router. */
@@ -21,8 +21,8 @@
   readonly spent: number
   /** Retries that this router may send in the window. */
   readonly limit: number
-  /** Routers that share the allowance. */
-  readonly routers: number
+  /** Routers that share the allowance; undefined while their number is unknown. */
+  readonly routers: number | undefined
 }
 
 /** Keeps the retries to one service within the fleet's bound. */
@@ -56,7 +56,10 @@
   }
 }
 
-/** Creates a retry budget; routers share no state but their number. */
+/**
+ * Creates a retry budget. Each router keeps to its share, so that the bound
+ * holds although routers share no state but their number.
+ */
 export function createRetryBudget(options: RetryBudgetOptions): RetryBudget {
   const requests = createBuckets()
   const retries = createBuckets()
@@ -65,9 +68,10 @@
   function usage(nowMs: number): RetryUsage {
     const { ratio, allowance, windowS } = options.bounds()
     const second = secondOf(nowMs)
-    const routers = Math.max(1, options.routerCount())
+    const routers = options.routerCount()
     const earned = ratio * requests.sum(second, windowS)
-    const limit = USED_FRACTION * (earned + allowance / routers)
+    const share = routers === undefined ? 0 : allowance / routers
+    const limit = USED_FRACTION * (earned + share)
     // A window may begin within a second, so one more bucket is summed.
     return { spent: retries.sum(second, windowS + 1), limit, routers }
   }
--- a/packages/router/src/node/peers/createPeers.ts
+++ b/packages/router/src/node/peers/createPeers.ts
@@ -7,6 +7,7 @@
 import type { CacheLocations } from '../routing/createCacheLocations.js'
 import type { RouterSettings } from '../settings/settingsSchema.js'
 import { createDigestSocket } from './createDigestSocket.js'
+import type { FleetSize } from './createFleetSize.js'
 import { createPendingUpdates } from './createPendingUpdates.js'
 import { createPeerStateServer } from './createPeerStateServer.js'
 import { createPeerTable, type Peer } from './createPeerTable.js'
@@ -27,6 +28,7 @@
   readonly state: RouterState
   readonly load: FleetLoad
   readonly cacheLocations: CacheLocations
+  readonly fleetSize: FleetSize
   readonly directory: RouterDirectory
   readonly logRestores: LogRestores
   readonly isStopping: () => boolean
@@ -37,8 +39,6 @@
 
 /** Exchange of digests and state with the other routers of the fleet. */
 export interface Peers {
-  /** Number of live routers including this one; a conservative default while no peer is known. */
-  routerCount(): number
   /** Whether peers poll configurations for this router. */
   hasFreshConfigurationReader(): boolean
   /** Whether peers poll the target list for this router. */
@@ -126,6 +126,7 @@
     const wasLive = table.find(received.router, now()) !== undefined
     const wasAlone = !wasLive && table.livePeers(now()).length === 0
     if (!table.update(received, host, now())) return
+    options.fleetSize.recordSeen(received.router, now())
     if (!wasLive) log.write(LogEvent.PeerFound, { peer: received.router })
     if (wasAlone) fetcher.requestCacheLocations()
     cacheLocations.merge(cacheLocationsOf(received))
@@ -215,16 +216,13 @@
     address,
     onListed: (listed) => {
       listedRouters = [...listed.keys()]
+      options.fleetSize.recordListed(listedRouters, now())
       for (const [peer, peerAddress] of listed)
         if (peer !== router) table.addListed(peer, peerAddress, now())
     },
   })
 
   return {
-    routerCount() {
-      const live = table.livePeers(now()).length
-      return live > 0 ? live + 1 : constants.DEFAULT_ROUTER_COUNT
-    },
     hasFreshConfigurationReader: () =>
       hasReader((last) => last.configurationReadMs),
     hasFreshTargetReader,
