Use no retry allowance in the first window after a start

Cause: a router keeps its retries of the window in memory only. After a restart the window looks empty, and the share that the run before has spent is spent again. Class of fault: a bound kept in the memory of a process. Change: no share of the allowance until a window has passed since the start; what a router's own requests earn is usable at once, as no earlier run can have spent it. Weighed: handing a router's spending to its next run through peers, which keeps the allowance but not when all stop at once, and lags by a digest; a bucket that refills over the window, which halves what can be used when a target crashes. Why it works: whatever the run before has spent lies outside every window in which the new run's share is spent.

--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -150,6 +150,7 @@
       windowS: settings.bounds.retryWindowS,
     }),
     routerCount: () => fleetSize.count(now()),
+    startedAtMs: now(),
   })
 
   const client = createTargetClient({
--- a/packages/router/src/node/limits/createRetryBudget.ts
+++ b/packages/router/src/node/limits/createRetryBudget.ts
@@ -13,6 +13,8 @@
   readonly bounds: () => RetryBounds
   /** Returns the number of routers that share the allowance; undefined while it is unknown. */
   readonly routerCount: () => number | undefined
+  /** Start of this router on the monotonic clock, in milliseconds. */
+  readonly startedAtMs: number
 }
 
 /** Use of a retry budget by one router. */
@@ -65,12 +67,20 @@
   const retries = createBuckets()
   const secondOf = (nowMs: number) => Math.floor(nowMs / MS_PER_S)
 
+  /** Returns this router's share of the allowance. */
+  function allowanceShare(nowMs: number, routers: number | undefined): number {
+    const { allowance, windowS } = options.bounds()
+    // The run before a restart may have used the share within the same window.
+    const isStarting = nowMs - options.startedAtMs < windowS * MS_PER_S
+    return isStarting || routers === undefined ? 0 : allowance / routers
+  }
+
   function usage(nowMs: number): RetryUsage {
-    const { ratio, allowance, windowS } = options.bounds()
+    const { ratio, windowS } = options.bounds()
     const second = secondOf(nowMs)
     const routers = options.routerCount()
     const earned = ratio * requests.sum(second, windowS)
-    const share = routers === undefined ? 0 : allowance / routers
+    const share = allowanceShare(nowMs, routers)
     const limit = USED_FRACTION * (earned + share)
     // A window may begin within a second, so one more bucket is summed.
     return { spent: retries.sum(second, windowS + 1), limit, routers }
