Read the software version of targets and the attempt that a caller resumes

Cause of the gap: routers did not read a target's version, and no line said that a request resumes the stream of another attempt, so that the hypotheses (a router goes on within one response at another version; a caller's next attempt is placed at another version) could not be told apart. No decision depends on them yet. Lists of an earlier release lack the version; it is read as empty.

--- a/packages/measure/src/node/placing/simulatePlacing.ts
+++ b/packages/measure/src/node/placing/simulatePlacing.ts
@@ -53,6 +53,7 @@
     host: '10.0.0.1',
     port: number,
     slots: 128,
+    softwareVersion: 'v1',
     draining: false,
   }
 }
--- a/packages/router/src/node/callers/callerRequest.ts
+++ b/packages/router/src/node/callers/callerRequest.ts
@@ -10,5 +10,8 @@
   readonly deadlineMs?: number
   /** Parts of the prompt in order; only the last is unique to this request. */
   readonly promptParts: readonly PromptPart[]
+  /** Last event that the caller received, of a stream to be resumed. */
   readonly lastEventId?: string
+  /** Attempt whose response had the first event of that stream. */
+  readonly resumedAttemptId?: string
 }
--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -157,6 +157,7 @@
     log.write(LogEvent.RequestSent, {
       request: call.request.attemptId,
       target: target.id,
+      targetVersion: target.softwareVersion,
       send: progress.sends,
       cause: TargetFailureCause.Broken,
       reason: 'truncated response',
--- a/packages/router/src/node/peers/peerState.ts
+++ b/packages/router/src/node/peers/peerState.ts
@@ -54,6 +54,8 @@
   host: v.string(),
   port: v.number(),
   slots: v.number(),
+  /** Missing in the state of an earlier release. */
+  softwareVersion: v.optional(v.string(), ''),
   draining: v.boolean(),
 })
 
--- a/packages/router/src/node/routing/__tests__/cacheTargetLoss.test.ts
+++ b/packages/router/src/node/routing/__tests__/cacheTargetLoss.test.ts
@@ -57,6 +57,7 @@
       host: '10.0.0.1',
       port: 1,
       slots: 64,
+      softwareVersion: 'v1',
       draining: false,
     })
   }
--- a/packages/router/src/node/routing/__tests__/createCacheRecovery.test.ts
+++ b/packages/router/src/node/routing/__tests__/createCacheRecovery.test.ts
@@ -15,6 +15,7 @@
   host: '10.0.0.1',
   port: i,
   slots: 4,
+  softwareVersion: 'v1',
   draining: false,
 }))
 const now = () => 0
--- a/packages/router/src/node/routing/__tests__/selectTarget.test.ts
+++ b/packages/router/src/node/routing/__tests__/selectTarget.test.ts
@@ -15,6 +15,7 @@
     host: '10.0.0.1',
     port: i,
     slots,
+    softwareVersion: 'v1',
     draining: false,
   }))
 }
--- a/packages/router/src/node/targets/__tests__/createTargetList.test.ts
+++ b/packages/router/src/node/targets/__tests__/createTargetList.test.ts
@@ -14,6 +14,7 @@
     host: '10.0.0.1',
     port: 1,
     slots: 4,
+    softwareVersion: 'v1',
     draining: false,
     ...fields,
   }
--- a/packages/router/src/node/targets/__tests__/followTargets.test.ts
+++ b/packages/router/src/node/targets/__tests__/followTargets.test.ts
@@ -11,7 +11,14 @@
 
 function target(id: string, draining = false): Target {
   const address = { host: '10.0.0.1', port: 1 }
-  return { id, service: 's', ...address, slots: 4, draining }
+  return {
+    id,
+    service: 's',
+    ...address,
+    slots: 4,
+    softwareVersion: 'v1',
+    draining,
+  }
 }
 
 /** Follows a fake source on a fake clock; the test writes the changes and advances the clock. */
--- a/packages/router/src/node/targets/createTargetList.ts
+++ b/packages/router/src/node/targets/createTargetList.ts
@@ -8,8 +8,10 @@
 
 function fingerprintOf(targets: Iterable<Target>): number {
   const lines: string[] = []
-  for (const { id, service, host, port, draining } of targets)
-    lines.push([id, service, host, port, draining].join(' '))
+  for (const target of targets) {
+    const { id, service, host, port, softwareVersion, draining } = target
+    lines.push([id, service, host, port, softwareVersion, draining].join(' '))
+  }
   return hash32(lines.sort().join('\n'))
 }
 
--- a/packages/router/src/node/targets/target.ts
+++ b/packages/router/src/node/targets/target.ts
@@ -7,6 +7,8 @@
   readonly port: number
   /** Requests that run concurrently. */
   readonly slots: number
+  /** Version of its software; versions have no order. */
+  readonly softwareVersion: string
   /** Whether it has announced its shutdown. */
   readonly draining: boolean
 }
