Resume a broken stream only at the software version that began it

Cause: when a target breaks off, the router goes on after the last event at any target of the service. Class of fault: replaceable targets were taken to be interchangeable in the middle of an answer too. Change: the call keeps the version of the target that sent the first event, and the selector offers only targets of that version from then on. Without one the response ends truncated, so that the caller knows that it is not whole. Why it works: the version is fixed once the caller has an event, and every further send of the call passes through the same selection.

--- a/packages/router/src/node/callers/callProgress.ts
+++ b/packages/router/src/node/callers/callProgress.ts
@@ -13,7 +13,10 @@
 /** State of one call across its sends to targets. */
 export interface CallProgress {
   readonly relay: ResponseRelay
-  readonly triedTargets: Set<string>
+  /** Ids of the targets that the call was sent to. */
+  readonly tried: Set<string>
+  /** Software version that began the stream, once the caller has an event of it. */
+  softwareVersion?: string
   /** Sends that a target ran or may have run. */
   possibleRuns: number
   sends: number
@@ -27,7 +30,7 @@
 export function createCallProgress(relay: ResponseRelay): CallProgress {
   return {
     relay,
-    triedTargets: new Set(),
+    tried: new Set(),
     possibleRuns: 0,
     sends: 0,
     verdict: Verdict.NotRun,
--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -123,7 +123,7 @@
     if (head.status < MIN_SERVER_ERROR_STATUS || progress.relay.headersSent)
       return false
     if (!canRetry(call, progress)) return false
-    return selector.select(call, progress.triedTargets) !== undefined
+    return selector.select(call, progress) !== undefined
   }
 
   async function handleResponse(
@@ -151,6 +151,8 @@
         })
       : RelayOutcome.Broken
     if (relayOutcome !== RelayOutcome.Broken) return NextStep.Done
+    if (progress.relay.lastEventId !== undefined)
+      progress.softwareVersion ??= target.softwareVersion
     response.res.destroy()
     health.recordOutcome(target, TargetOutcome.Failure, now())
     progress.lastCause = TargetFailureCause.Broken
@@ -173,7 +175,7 @@
   ): Promise<NextStep> {
     const { target, prefillTokens } = placement
     progress.placement = placement
-    progress.triedTargets.add(target.id)
+    progress.tried.add(target.id)
     progress.sends += 1
     const sentAtMs = now()
     load.recordStart(target.id, prefillTokens)
@@ -219,7 +221,7 @@
 
     while (progress.sends < MAX_SENDS && !call.signal.aborted) {
       if (call.deadlineAtMs - now() < MIN_REMAINING_MS) break
-      const placement = selector.select(call, progress.triedTargets)
+      const placement = selector.select(call, progress)
       if (!placement) break
       const next = await sendTo(call, placement, progress)
       if (next === NextStep.Done) break
--- a/packages/router/src/node/routing/__tests__/cacheTargetLoss.test.ts
+++ b/packages/router/src/node/routing/__tests__/cacheTargetLoss.test.ts
@@ -79,7 +79,7 @@
       service: SERVICE,
       deadlineAtMs: nowMs + 10_000,
     })
-    const placement = selector.select(request, new Set())
+    const placement = selector.select(request, { tried: new Set() })
     assert.ok(placement)
     const { target, reason, fetchFrom } = placement
     selector.recordSent(request, target)
--- a/packages/router/src/node/routing/createTargetSelector.ts
+++ b/packages/router/src/node/routing/createTargetSelector.ts
@@ -27,10 +27,18 @@
   readonly now: () => number
 }
 
+/** Targets that a call may be sent to. */
+export interface TargetConstraints {
+  /** Ids of the targets that the call was sent to before. */
+  readonly tried: ReadonlySet<string>
+  /** The only software version that may go on with the stream of the call. */
+  readonly softwareVersion?: string | undefined
+}
+
 /** Selects the targets of calls. */
 export interface TargetSelector {
   /** Returns the placement of a call's next send; undefined if there is no target. */
-  select(call: Call, tried: ReadonlySet<string>): Placement | undefined
+  select(call: Call, constraints: TargetConstraints): Placement | undefined
   /** Whether the prompt of a call needs no cache location or has a known one. */
   isLocated(call: Call): boolean
   /** Records that a call is sent to a target. */
@@ -81,21 +89,23 @@
     request.promptParts.at(-1)?.tokens ?? 0
 
   return {
-    select(call, tried) {
+    select(call, { tried, softwareVersion }) {
       const { service, request } = call
       const nowMs = now()
       const ready = targetList.ready(service, nowMs)
-      const untried = ready.filter(({ id }) => !tried.has(id))
+      const isAllowed = (target: Target): boolean =>
+        !tried.has(target.id) &&
+        (softwareVersion ?? target.softwareVersion) === target.softwareVersion
+      const allowed = ready.filter(isAllowed)
       const available = health
         .eligibleTargets(service, ready, nowMs)
-        .filter(
-          ({ id }) => !tried.has(id) && !stallDetector.isStalled(id, nowMs),
-        )
+        .filter(isAllowed)
+        .filter(({ id }) => !stallDetector.isStalled(id, nowMs))
       const key = keyOf(call)
       const promptTokens = tokensOf(request.promptParts)
       const cachedOn = key === undefined ? [] : cacheLocations.cachedOn(key)
       const selected = selectTarget({
-        targets: available.length > 0 ? available : untried,
+        targets: available.length > 0 ? available : allowed,
         load: (id) => load.total(id, nowMs),
         promptTokens,
         tieBreaker: request.attemptId,
