Resume the streams of other attempts only at the software version that began them

Cause: the next attempt of a caller was placed like a new stream. No router knew which version had begun it, and the router that did was often the one that had stopped. Change: streams/. Each router keeps the version of its resumable streams and reports them with its digests while the service has had several versions within the lifetime of a stream (twice the longest time-out of the resumable routes); with one version every router can tell by itself, and nothing is sent. A starting router learns both from a peer. A resumed stream goes to targets of its version only and to the service that began it; if the version is unknown it is refused at once as not run, unknown-stream, with a Retry-After after which the digest has arrived. Nothing is inferred from a list that may be out of date: without a live peer it must have been read within the last second. Weighed: the version as a function of the prompt, which moves when a version is added; asking the targets, which drop a run whose connection closes; the log service, 400 writes a second for all; a home for each stream, which is what the target size needs (docs/CAPACITY.md). Why it works: a stream goes on only with a recorded version, or with the only one that the service had since before it can have begun.

--- a/packages/core/src/node/verdict/failureCode.ts
+++ b/packages/core/src/node/verdict/failureCode.ts
@@ -8,6 +8,7 @@
   BodyTooLarge = 'body-too-large',
   NoTarget = 'no-target',
   Overloaded = 'overloaded',
+  UnknownStream = 'unknown-stream',
   LimitReached = 'limit-reached',
   DeadlinePassed = 'deadline-passed',
   TargetUnreachable = 'target-unreachable',
--- a/packages/measure/src/node/placing/measureDigests.ts
+++ b/packages/measure/src/node/placing/measureDigests.ts
@@ -1,6 +1,7 @@
 import { DIGEST_INTERVAL_MS, DIGEST_FANOUT } from '@auburnbay/router/constants'
 import { encodeLoad } from '@auburnbay/router/peers/digestLoad'
 import { encodeDigest } from '@auburnbay/router/peers/peerDigest'
+import { streamKeyOf } from '@auburnbay/router/streams/streamVersion'
 import type { TargetLoad } from '@auburnbay/router/routing/targetLoad'
 import type { Figure } from '../figure.js'
 import { MAX_CONTROL_BYTES_PER_S } from './constants.js'
@@ -11,6 +12,9 @@
 /** Cache locations that a router adds between two digests. */
 const NEW_LOCATIONS = 4
 
+/** Streams that a router begins between two digests, while a service has several software versions. */
+const NEW_STREAMS = 4
+
 function digestBytes(targets: number): number {
   const ids = Array.from({ length: targets }, (_, i) => `i-00000000${i}`)
   const loads = new Map<string, TargetLoad>()
@@ -19,6 +23,9 @@
   const locations = ids
     .slice(0, NEW_LOCATIONS)
     .map((id, i) => [`5c1e07a${i}`, id] as const)
+  const streamKeys = Array.from({ length: NEW_STREAMS }, (_, i) =>
+    streamKeyOf(`attempt-${i}`),
+  )
   const digest = encodeDigest({
     router: 'frontend-data-centre-1',
     incarnation: '00000000',
@@ -33,6 +40,7 @@
     logRestores: 1,
     ...encodeLoad(ids, loads),
     placed: [...locations],
+    streams: [['v1.1', ...streamKeys]],
   })
   return digest.length + HEADER_BYTES
 }
--- a/packages/measure/src/node/placing/simulatePlacing.ts
+++ b/packages/measure/src/node/placing/simulatePlacing.ts
@@ -13,6 +13,7 @@
   type FleetLoad,
 } from '@auburnbay/router/routing/createFleetLoad'
 import {
+  type CacheLocation,
   createCacheLocations,
   type CacheLocations,
 } from '@auburnbay/router/routing/createCacheLocations'
@@ -34,7 +35,7 @@
   readonly load: FleetLoad
   readonly cacheLocations: CacheLocations
   /** Cache locations that not all peers have received yet. */
-  readonly pendingUpdates: PendingUpdates
+  readonly pendingUpdates: PendingUpdates<CacheLocation>
 }
 
 /** Result of a simulation. */
--- a/packages/router/src/node/callers/admitRequest.ts
+++ b/packages/router/src/node/callers/admitRequest.ts
@@ -16,7 +16,7 @@
   return query < 0 ? url : url.slice(0, query)
 }
 
-/** Selects a service by weight, deterministically for an attempt id. */
+/** Selects a service by weight, the same one whenever a stream is resumed. */
 function selectService({ services }: Route, attemptId: string): string {
   let total = 0
   for (const { weight } of services) total += weight
@@ -49,7 +49,10 @@
     path,
     rawHeaders: req.rawHeaders,
     route,
-    service: selectService(route, request.attemptId),
+    service: selectService(
+      route,
+      request.resumedAttemptId ?? request.attemptId,
+    ),
     ...(customer && { customer }),
   })
 }
--- a/packages/router/src/node/callers/call.ts
+++ b/packages/router/src/node/callers/call.ts
@@ -15,6 +15,8 @@
   /** Service selected by the weights of the route. */
   readonly service: string
   readonly customer?: Customer
+  /** Software version that began the stream which the caller resumes. */
+  readonly softwareVersion?: string
   /** Deadline of the final response on the monotonic clock, in milliseconds. */
   readonly deadlineAtMs: number
   /** Aborted when the caller disconnects or the deadline passes. */
--- a/packages/router/src/node/callers/callProgress.ts
+++ b/packages/router/src/node/callers/callProgress.ts
@@ -27,9 +27,13 @@
 }
 
 /** Creates the progress of a call that has not been sent yet. */
-export function createCallProgress(relay: ResponseRelay): CallProgress {
+export function createCallProgress(
+  relay: ResponseRelay,
+  { softwareVersion }: Pick<Call, 'softwareVersion'>,
+): CallProgress {
   return {
     relay,
+    ...(softwareVersion !== undefined && { softwareVersion }),
     tried: new Set(),
     possibleRuns: 0,
     sends: 0,
--- a/packages/router/src/node/callers/createCallerServer.ts
+++ b/packages/router/src/node/callers/createCallerServer.ts
@@ -12,10 +12,13 @@
 import type { DecisionLog } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
 import type { RouterMetrics } from '../metrics/routerMetrics.js'
+import type { ResumableStreams } from '../streams/createResumableStreams.js'
 import { affinityKey } from '../routing/affinityKey.js'
 import { type AdmittedRequest, admitRequest } from './admitRequest.js'
+import { admitResumption } from './admitResumption.js'
 import type { Call } from './call.js'
 import type { CallerProtocol } from './callerProtocol.js'
+import type { CallerRequest } from './callerRequest.js'
 import type { Dispatcher } from './createDispatcher.js'
 import { failures } from './failures.js'
 import { sendFailure } from './sendFailure.js'
@@ -38,6 +41,7 @@
   readonly configurationStore: ConfigurationStore
   readonly protocol: CallerProtocol
   readonly dispatcher: Dispatcher
+  readonly streams: ResumableStreams
   readonly log: DecisionLog
   readonly metrics: RouterMetrics
   /** Milliseconds since the source of configurations became unavailable; 0 while it is available. */
@@ -73,11 +77,12 @@
 
   function refuse(
     res: ServerResponse,
-    attemptId: string,
+    { attemptId, resumedAttemptId }: CallerRequest,
     failure: RequestFailure,
   ): void {
     log.write(LogEvent.RequestRefused, {
       request: attemptId,
+      resumedAttempt: resumedAttemptId,
       status: failure.status,
       code: failure.code,
       verdict: failure.verdict,
@@ -153,13 +158,15 @@
     if (body.isErr()) {
       if (body.error === BodyError.Aborted) return
       res.shouldKeepAlive = false
-      refuse(res, request.attemptId, failures.bodyTooLarge)
+      refuse(res, request, failures.bodyTooLarge)
       return
     }
     if (keepAliveDisabled) res.shouldKeepAlive = false
     const active = configurationStore.current
     const admitted = active
-      ? admitRequest(req, request, active)
+      ? admitRequest(req, request, active).andThen((value) =>
+          admitResumption(value, options.streams),
+        )
       : err({
           ...failures.starting,
           retryAfterS: startingRetryAfterS(
@@ -168,11 +175,11 @@
           ),
         })
     if (refuseRequests) {
-      refuse(res, request.attemptId, failures.stopping)
+      refuse(res, request, failures.stopping)
       return
     }
     if (admitted.isErr()) {
-      refuse(res, request.attemptId, admitted.error)
+      refuse(res, request, admitted.error)
       return
     }
     await forward(admitted.value, body.value, res)
--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -212,7 +212,7 @@
     res: ServerResponse,
   ): Promise<DispatchOutcome> {
     const relay = createResponseRelay(call, res, options.protocol)
-    const progress = createCallProgress(relay)
+    const progress = createCallProgress(relay, call)
     options.retryBudgetFor(call.service).recordFirstAttempt(now())
     await waitForCacheLocation(call, {
       isLocated: (located) => selector.isLocated(located),
--- a/packages/router/src/node/callers/failures.ts
+++ b/packages/router/src/node/callers/failures.ts
@@ -6,6 +6,8 @@
 const OTHER_ROUTER_RETRY_AFTER_S = 0.1
 /** Retry-After without a target: the time to replace a full or removed one. */
 const OTHER_TARGET_RETRY_AFTER_S = 0.5
+/** Retry-After for an unknown stream: by then its router has reported it to the others. */
+const STREAM_REPORT_RETRY_AFTER_S = 0.3
 
 function createNotRunFailure(
   code: FailureCode,
@@ -63,6 +65,12 @@
     'the targets that were asked refused; try again later',
     OTHER_TARGET_RETRY_AFTER_S,
   ),
+  unknownStream: createNotRunFailure(
+    FailureCode.UnknownStream,
+    503,
+    'this router does not know which software version began the stream; try again at another',
+    STREAM_REPORT_RETRY_AFTER_S,
+  ),
   deadlinePassed: createNotRunFailure(
     FailureCode.DeadlinePassed,
     503,
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -4,13 +4,14 @@
 import { formatAddress } from '@auburnbay/http-utils/listen'
 import { createCallerServer } from './callers/createCallerServer.js'
 import { createDispatcher } from './callers/createDispatcher.js'
+import { createConfigurationActivator } from './configuration/createConfigurationActivator.js'
 import { createConfigurationStore } from './configuration/createConfigurationStore.js'
-import type { RouterConfiguration } from './configuration/routerConfiguration.js'
 import * as constants from './constants.js'
 import { createStallDetector } from './health/createStallDetector.js'
 import { createTargetHealth } from './health/createTargetHealth.js'
 import { HEALTH_OPTIONS } from './health/constants.js'
 import { createRetryBudgets } from './limits/createRetryBudgets.js'
+import { retryBoundsOf } from './limits/retryBoundsOf.js'
 import type { DecisionLog } from './logging/decisionLog.js'
 import { LogEvent } from './logging/logEvent.js'
 import { createReadinessServer } from './stopping/createReadinessServer.js'
@@ -18,6 +19,7 @@
 import { createRouterMetrics } from './metrics/createRouterMetrics.js'
 import { createFleetSize } from './peers/createFleetSize.js'
 import { createPeers, type Peers } from './peers/createPeers.js'
+import { maxLoadAgeMs } from './peers/maxLoadAgeMs.js'
 import { createRouterState } from './peers/createRouterState.js'
 import type { RouterPorts } from './routerPorts.js'
 import { createFleetLoad } from './routing/createFleetLoad.js'
@@ -26,6 +28,8 @@
 import { createTargetSelector } from './routing/createTargetSelector.js'
 import { createLogFollowers } from './sources/createLogFollowers.js'
 import type { RouterSettings } from './settings/settingsSchema.js'
+import { createResumableStreams } from './streams/createResumableStreams.js'
+import { createStreamLifetime } from './streams/createStreamLifetime.js'
 import { watchPauses } from './watchPauses.js'
 import { createTargetClient } from './targets/createTargetClient.js'
 import { createTargetList } from './targets/createTargetList.js'
@@ -61,12 +65,8 @@
     constants.REJOIN_WINDOW_MS,
     () => settings.bounds.drainMs,
   )
-  const load = createFleetLoad(() => {
-    const rounds = Math.ceil(
-      ((peers.current?.livePeers().length ?? 0) + 1) / constants.DIGEST_FANOUT,
-    )
-    return constants.MAX_LOST_DIGESTS * constants.DIGEST_INTERVAL_MS * rounds
-  })
+  const livePeerCount = (): number => peers.current?.livePeers().length ?? 0
+  const load = createFleetLoad(() => maxLoadAgeMs(livePeerCount() + 1))
   const stallDetector = createStallDetector(constants.STALL_TIMEOUT_MS)
   const cacheLocations = createCacheLocations(constants.MAX_CACHE_LOCATIONS)
   const fleetSize = createFleetSize(settings.router.id)
@@ -75,19 +75,11 @@
     log.write(LogEvent.TargetHealth, { target: target.id, change })
   })
 
-  function applyConfiguration(
-    configuration: RouterConfiguration,
-    from: string,
-  ): void {
-    if (!configurationStore.applyIfNewer(configuration)) return
-    peers.current?.broadcast()
-    const { version, routes } = configuration
-    log.write(LogEvent.ConfigurationActivated, {
-      version,
-      routes: routes.length,
-      from,
-    })
-  }
+  const applyConfiguration = createConfigurationActivator(
+    configurationStore,
+    () => peers.current?.broadcast(),
+    log,
+  )
 
   const { configurations, targets } = createLogFollowers({
     ports,
@@ -106,6 +98,15 @@
     configurationPollAgeMs: () => configurations.lastPollAgeMs(),
     applyConfiguration,
   })
+  const streams = createResumableStreams({
+    targetList,
+    isListLoaded: () => targets.isLoaded(),
+    // Live peers pass on any newer list that one of them has.
+    isListFresh: () =>
+      livePeerCount() > 0 || targets.ageMs() <= constants.FRESH_LIST_AGE_MS,
+    lifetimeMs: createStreamLifetime(() => configurationStore.current),
+    now,
+  })
   peers.current = await createPeers({
     settings,
     bounds: () => settings.bounds,
@@ -114,6 +115,7 @@
     load,
     cacheLocations,
     fleetSize,
+    streams,
     directory: ports.directory,
     logRestores: ports.logRestores,
     isStopping: () => stopping,
@@ -144,11 +146,7 @@
   })
 
   const retryBudgetFor = createRetryBudgets({
-    bounds: () => ({
-      ratio: settings.bounds.retryRatio,
-      allowance: settings.bounds.retryAllowance,
-      windowS: settings.bounds.retryWindowS,
-    }),
+    bounds: () => retryBoundsOf(settings),
     routerCount: () => fleetSize.count(now()),
     startedAtMs: now(),
   })
@@ -168,6 +166,7 @@
         targetList,
         load,
         cacheLocations,
+        streams,
         health,
         stallDetector,
         sharesCache,
@@ -186,6 +185,7 @@
       metrics,
       now,
     }),
+    streams,
     log,
     metrics,
     targetsAgeMs: () => targets.ageMs(),
--- a/packages/router/src/node/peers/__tests__/testDigest.ts
+++ b/packages/router/src/node/peers/__tests__/testDigest.ts
@@ -16,6 +16,7 @@
     work: [1, 2, 130],
     placed: [['prompt', 1]],
     logRestores: 3,
+    streams: [['v1', 7]],
     ...fields,
   }
 }
--- a/packages/router/src/node/peers/createPeerStateFetcher.ts
+++ b/packages/router/src/node/peers/createPeerStateFetcher.ts
@@ -1,7 +1,8 @@
 import { requestBytes } from '@auburnbay/http-utils/requestBytes'
 import type { DecisionLog } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
-import type { CacheLocation } from '../routing/createCacheLocations.js'
+import type { CacheLocations } from '../routing/createCacheLocations.js'
+import type { ResumableStreams } from '../streams/createResumableStreams.js'
 import type { Peer } from './createPeerTable.js'
 import { statePath } from './createPeerStateServer.js'
 import { decodePeerState } from './peerState.js'
@@ -15,7 +16,8 @@
 /** Options for {@link createPeerStateFetcher}. */
 export interface PeerStateFetcherOptions {
   readonly routerState: RouterState
-  readonly onCacheLocations: (locations: readonly CacheLocation[]) => void
+  readonly cacheLocations: CacheLocations
+  readonly streams: ResumableStreams
   readonly log: DecisionLog
   /** Monotonic clock, in milliseconds. */
   readonly now: () => number
@@ -25,7 +27,7 @@
 export interface PeerStateFetcher {
   /** Compares a peer's new digest with this router's state and fetches newer state. */
   onDigest(peer: Peer): void
-  /** Fetches the cache locations with the next digest, as some may have been missed. */
+  /** Fetches cache locations and resumable streams with the next digest, as some may have been missed. */
   requestCacheLocations(): void
 }
 
@@ -38,7 +40,7 @@
 export function createPeerStateFetcher(
   options: PeerStateFetcherOptions,
 ): PeerStateFetcher {
-  const { routerState, onCacheLocations, log, now } = options
+  const { routerState, cacheLocations, streams, log, now } = options
   let isFetching = false
   let hasFetched = false
   let needsCacheLocations = true
@@ -82,10 +84,11 @@
     }
     hasFetched = true
     const { configuration, placements, targets, targetsAgeMs } = state
+    if (state.resumableStreams) streams.applyState(state.resumableStreams)
     if (configuration) routerState.applyConfiguration(configuration, router)
     if (placements) {
       needsCacheLocations = false
-      onCacheLocations(placements)
+      cacheLocations.merge(placements)
     }
     const ageMs = (targetsAgeMs ?? Infinity) + now() - sentAtMs
     if (ageMs >= routerState.targetsAgeMs()) return
--- a/packages/router/src/node/peers/createPeers.ts
+++ b/packages/router/src/node/peers/createPeers.ts
@@ -6,10 +6,16 @@
 import type { FleetLoad } from '../routing/createFleetLoad.js'
 import type { CacheLocations } from '../routing/createCacheLocations.js'
 import type { RouterSettings } from '../settings/settingsSchema.js'
+import type { ResumableStreams } from '../streams/createResumableStreams.js'
+import {
+  decodeStreamVersions,
+  encodeStreamVersions,
+} from '../streams/streamVersion.js'
 import { createDigestSocket } from './createDigestSocket.js'
 import type { FleetSize } from './createFleetSize.js'
 import { createPendingUpdates } from './createPendingUpdates.js'
 import { createPeerStateServer } from './createPeerStateServer.js'
+import { createPeerStateSource } from './createPeerStateSource.js'
 import { createPeerTable, type Peer } from './createPeerTable.js'
 import { createPeerStateFetcher } from './createPeerStateFetcher.js'
 import { joinDirectory } from './joinDirectory.js'
@@ -17,6 +23,7 @@
 import { cacheLocationsOf } from './cacheLocationsOf.js'
 import { decodeLoad, encodeLoad } from './digestLoad.js'
 import { hasFreshReader, type PollAge } from './hasFreshReader.js'
+import { finiteOrNull } from './finiteOrNull.js'
 import type { RouterState } from './routerState.js'
 
 /** Options for {@link createPeers}. */
@@ -29,6 +36,7 @@
   readonly load: FleetLoad
   readonly cacheLocations: CacheLocations
   readonly fleetSize: FleetSize
+  readonly streams: ResumableStreams
   readonly directory: RouterDirectory
   readonly logRestores: LogRestores
   readonly isStopping: () => boolean
@@ -60,17 +68,13 @@
   close(): void
 }
 
-function finiteOrNull(value: number): number | null {
-  return Number.isFinite(value) ? Math.round(value) : null
-}
-
 /** Digests that a router sends within 5 s of its start, at least. */
 const ESTABLISHED_DIGESTS = 25
 
 /** Starts to exchange digests; rejects if the address is in use. */
 export async function createPeers(options: PeersOptions): Promise<Peers> {
-  const { settings, state, load, cacheLocations, logRestores, log, now } =
-    options
+  const { settings, state, load, cacheLocations, streams } = options
+  const { logRestores, log, now } = options
   const { id: router } = settings.router
   let sequence = 0
   let listedRouters: string[] | undefined
@@ -82,14 +86,16 @@
   })
   const fetcher = createPeerStateFetcher({
     routerState: state,
-    onCacheLocations: (locations) => {
-      cacheLocations.merge(locations)
-    },
+    cacheLocations,
+    streams,
     log,
     now,
   })
 
-  const updates = createPendingUpdates(() => cacheLocations.takeUpdates())
+  const locationUpdates = createPendingUpdates(() =>
+    cacheLocations.takeUpdates(),
+  )
+  const streamUpdates = createPendingUpdates(() => streams.takeUpdates())
 
   /** Returns the digests needed to reach every peer once. */
   const roundsToReachAll = (): number =>
@@ -97,6 +103,7 @@
 
   function digest(): PeerDigest {
     sequence += 1
+    const rounds = roundsToReachAll()
     return {
       router,
       incarnation: options.incarnation,
@@ -110,7 +117,8 @@
       stopping: options.isStopping(),
       logRestores: logRestores.count ?? null,
       ...encodeLoad(state.targetIds(), load.own()),
-      placed: [...updates.next(roundsToReachAll())],
+      placed: [...locationUpdates.next(rounds)],
+      streams: encodeStreamVersions(streamUpdates.next(rounds)),
     }
   }
 
@@ -131,6 +139,7 @@
     if (wasAlone) fetcher.requestCacheLocations()
     cacheLocations.merge(cacheLocationsOf(received))
     if (received.logRestores !== null) logRestores.report(received.logRestores)
+    streams.merge(decodeStreamVersions(received.streams))
     applyLoad(received)
     const peer = table.find(received.router, now())
     if (peer) fetcher.onDigest(peer)
@@ -138,16 +147,7 @@
 
   const server = await createPeerStateServer(
     settings.listen.peers,
-    ({ knownVersion, targetsFingerprint, wantsPlacements }) => {
-      const configuration = state.configurationSince(knownVersion)
-      const hasTargets = targetsFingerprint === state.targetsFingerprint()
-      return {
-        ...(configuration && { configuration }),
-        ...(!hasTargets && { targets: state.targets() }),
-        targetsAgeMs: finiteOrNull(state.targetsAgeMs()),
-        ...(wantsPlacements && { placements: cacheLocations.all() }),
-      }
-    },
+    createPeerStateSource(options),
   )
   // Digests are received on the same port, over UDP.
   const { address } = server
--- a/packages/router/src/node/peers/peerDigest.ts
+++ b/packages/router/src/node/peers/peerDigest.ts
@@ -1,5 +1,9 @@
 import { decode, encode } from '@msgpack/msgpack'
 import * as v from 'valibot'
+import {
+  isStreamsOfVersion,
+  type StreamsOfVersion,
+} from '../streams/streamVersion.js'
 
 /** A new cache location: an affinity key and a target id. An earlier release sent indexes, which are ignored. */
 type PlacedPrompt = readonly [key: string, target: string | number]
@@ -42,6 +46,13 @@
   ),
   /** Restores of the log that the router has seen; null if unknown. */
   logRestores: v.optional(v.nullable(v.number()), null),
+  /** Streams whose version peers cannot tell by themselves. */
+  streams: v.optional(
+    v.custom<readonly StreamsOfVersion[]>(
+      (value) => Array.isArray(value) && value.every(isStreamsOfVersion),
+    ),
+    [],
+  ),
 })
 
 /** State that a router broadcasts to its peers several times per second. */
--- a/packages/router/src/node/peers/peerState.ts
+++ b/packages/router/src/node/peers/peerState.ts
@@ -3,6 +3,7 @@
 import { RequestKind } from '../configuration/requestKind.js'
 import type { RouterConfiguration } from '../configuration/routerConfiguration.js'
 import type { CacheLocation } from '../routing/createCacheLocations.js'
+import type { ResumableStreamsState } from '../streams/createResumableStreams.js'
 import type { Target } from '../targets/target.js'
 
 /** Largest decompressed state, in bytes; the memory of a router is a few times as large. */
@@ -59,11 +60,20 @@
   draining: v.boolean(),
 })
 
+const resumableStreamsSchema = v.object({
+  streams: v.array(v.tuple([v.number(), v.string()])),
+  history: v.object({
+    coveredMs: v.number(),
+    versions: v.array(v.tuple([v.string(), v.string(), v.number()])),
+  }),
+})
+
 const stateSchema = v.object({
   configuration: v.exactOptional(configurationSchema),
   targets: v.exactOptional(v.array(targetSchema)),
   targetsAgeMs: v.nullable(v.number()),
   placements: v.exactOptional(v.array(v.tuple([v.string(), v.string()]))),
+  resumableStreams: v.exactOptional(resumableStreamsSchema),
 })
 
 /** State that a router has already when it fetches a peer's state. */
@@ -71,7 +81,7 @@
   readonly knownVersion: number
   /** Fingerprint of the requester's target list, if it has one. */
   readonly targetsFingerprint?: number
-  /** Whether the requester needs the cache locations. */
+  /** Whether the requester needs the cache locations and the resumable streams. */
   readonly wantsPlacements: boolean
 }
 
@@ -83,6 +93,7 @@
   readonly targetsAgeMs: number | null
   /** Latest cache location of each prompt. */
   readonly placements?: readonly CacheLocation[]
+  readonly resumableStreams?: ResumableStreamsState
 }
 
 /** Encodes a state, compressed as many routers may fetch it at once over narrow links. */
--- a/packages/router/src/node/routing/__tests__/cacheTargetLoss.test.ts
+++ b/packages/router/src/node/routing/__tests__/cacheTargetLoss.test.ts
@@ -7,6 +7,7 @@
 import { createStallDetector } from '../../health/createStallDetector.js'
 import { createTargetHealth } from '../../health/createTargetHealth.js'
 import { TargetFailureCause } from '../../targets/targetFailure.js'
+import { createResumableStreams } from '../../streams/createResumableStreams.js'
 import { createTargetList } from '../../targets/createTargetList.js'
 import { createCacheLocations } from '../createCacheLocations.js'
 import { createFleetLoad } from '../createFleetLoad.js'
@@ -44,6 +45,13 @@
     cacheLocations: createCacheLocations(1_000),
     health,
     stallDetector: createStallDetector(1_000),
+    streams: createResumableStreams({
+      targetList,
+      isListLoaded: () => true,
+      isListFresh: () => true,
+      lifetimeMs: () => 0,
+      now,
+    }),
     sharesCache: () => true,
     onNewPrompt: () => undefined,
     now,
--- a/packages/router/src/node/routing/createTargetSelector.ts
+++ b/packages/router/src/node/routing/createTargetSelector.ts
@@ -2,6 +2,7 @@
 import type { PromptPart } from '../callers/promptPart.js'
 import type { StallDetector } from '../health/createStallDetector.js'
 import type { TargetHealth } from '../health/createTargetHealth.js'
+import type { ResumableStreams } from '../streams/createResumableStreams.js'
 import type { TargetList } from '../targets/createTargetList.js'
 import type { Target } from '../targets/target.js'
 import { TargetFailureCause } from '../targets/targetFailure.js'
@@ -17,6 +18,7 @@
   readonly targetList: TargetList
   readonly load: FleetLoad
   readonly cacheLocations: CacheLocations
+  readonly streams: ResumableStreams
   readonly health: TargetHealth
   readonly stallDetector: StallDetector
   /** Whether a service's targets fetch cached prompts from each other. */
@@ -135,6 +137,7 @@
       return key === undefined || cacheLocations.cachedOn(key).length > 0
     },
     recordSent(call, target) {
+      options.streams.recordSent(call, target)
       const key = keyOf(call)
       if (key === undefined) return
       const isNew = cacheLocations.cachedOn(key).length === 0
--- /dev/null
+++ b/packages/router/src/node/streams/createResumableStreams.ts
@@ -0,0 +1,101 @@
+import type { Call } from '../callers/call.js'
+import type { TargetList } from '../targets/createTargetList.js'
+import type { Target } from '../targets/target.js'
+import { createStreamVersions } from './createStreamVersions.js'
+import {
+  createVersionHistory,
+  type VersionHistoryState,
+} from './createVersionHistory.js'
+import { isResumable } from './isResumable.js'
+import type { StreamVersion } from './streamVersion.js'
+
+/** What a starting router learns from a peer about the streams that callers may resume. */
+export interface ResumableStreamsState {
+  readonly streams: readonly StreamVersion[]
+  readonly history: VersionHistoryState
+}
+
+/** Options for {@link createResumableStreams}. */
+export interface ResumableStreamsOptions {
+  readonly targetList: TargetList
+  /** Whether the target list was loaded. */
+  readonly isListLoaded: () => boolean
+  /** Whether a target that another router knows would be listed here too. */
+  readonly isListFresh: () => boolean
+  /** Returns the milliseconds for which a caller may still resume a stream. */
+  readonly lifetimeMs: () => number
+  /** Monotonic clock, in milliseconds. */
+  readonly now: () => number
+}
+
+/** Knows which software version began each stream that a caller may resume. */
+export interface ResumableStreams {
+  /** Records that a call is sent to a target. */
+  recordSent(call: Call, target: Target): void
+  /** Returns the version that began the stream of an attempt; undefined if it is unknown. */
+  findVersion(
+    service: string,
+    attemptId: string | undefined,
+  ): string | undefined
+  /** Returns streams of this router that peers need and that were not returned before. */
+  takeUpdates(): StreamVersion[]
+  /** Adds streams of peers. */
+  merge(streams: readonly StreamVersion[]): void
+  state(): ResumableStreamsState
+  applyState(state: ResumableStreamsState): void
+}
+
+/** Creates an empty registry of resumable streams. */
+export function createResumableStreams(
+  options: ResumableStreamsOptions,
+): ResumableStreams {
+  const { targetList, lifetimeMs, now } = options
+  const history = createVersionHistory(lifetimeMs)
+  let observedRevision: number | undefined
+
+  function observeTargets(): void {
+    if (!options.isListLoaded()) return
+    if (targetList.revision === observedRevision) return
+    observedRevision = targetList.revision
+    history.observe(targetList.all(), now())
+  }
+
+  function soleVersion(service: string): string | undefined {
+    observeTargets()
+    return history.soleVersion(service, now())
+  }
+
+  const versions = createStreamVersions({
+    lifetimeMs,
+    isNeeded: (service) => soleVersion(service) === undefined,
+  })
+
+  return {
+    recordSent(call, { softwareVersion }) {
+      if (!isResumable(call.route)) return
+      const { request, service } = call
+      versions.record(request.attemptId, service, softwareVersion, now())
+    },
+    findVersion(service, attemptId) {
+      const known =
+        attemptId === undefined ? undefined : versions.find(attemptId, now())
+      if (known !== undefined) return known
+      return options.isListFresh() ? soleVersion(service) : undefined
+    },
+    takeUpdates() {
+      observeTargets()
+      return versions.takeUpdates(now())
+    },
+    merge(streams) {
+      versions.merge(streams, now())
+    },
+    state() {
+      observeTargets()
+      return { streams: versions.all(now()), history: history.state(now()) }
+    },
+    applyState({ streams, history: received }) {
+      versions.merge(streams, now())
+      history.merge(received, now())
+    },
+  }
+}
--- /dev/null
+++ b/packages/router/src/node/streams/createStreamVersions.ts
@@ -0,0 +1,102 @@
+import { streamKeyOf, type StreamVersion } from './streamVersion.js'
+
+/** Software versions that began streams, from this router and its peers. */
+export interface StreamVersions {
+  /** Records the version of the target that a stream of this router is sent to. */
+  record(
+    attemptId: string,
+    service: string,
+    softwareVersion: string,
+    nowMs: number,
+  ): void
+  /** Adds streams of peers. */
+  merge(streams: readonly StreamVersion[], nowMs: number): void
+  /** Returns the version that began the stream of an attempt; undefined if it is unknown. */
+  find(attemptId: string, nowMs: number): string | undefined
+  /** Returns this router's streams that peers need and that were not returned before. */
+  takeUpdates(nowMs: number): StreamVersion[]
+  /** Returns every stream. */
+  all(nowMs: number): StreamVersion[]
+}
+
+/** Options for {@link createStreamVersions}. */
+export interface StreamVersionsOptions {
+  /** Returns the milliseconds for which a caller may still resume a stream. */
+  readonly lifetimeMs: () => number
+  /** Whether peers cannot tell the version of a service's streams by themselves. */
+  readonly isNeeded: (service: string) => boolean
+}
+
+interface Entry {
+  readonly softwareVersion: string
+  readonly recordedAtMs: number
+}
+
+interface OwnEntry extends Entry {
+  readonly service: string
+}
+
+/** Streams that are remembered, at about 100 bytes each. */
+const MAX_STREAMS = 20_000
+/** Streams that are reported to peers at a time. */
+const MAX_UPDATES = 500
+
+/** Creates an empty table. */
+export function createStreamVersions(
+  options: StreamVersionsOptions,
+): StreamVersions {
+  const { lifetimeMs, isNeeded } = options
+  // Both are in the order in which their entries were recorded.
+  const streams = new Map<number, Entry>()
+  const unreported = new Map<number, OwnEntry>()
+
+  function removeOld(entries: Map<number, Entry>, nowMs: number): void {
+    const oldestMs = nowMs - lifetimeMs()
+    for (const [key, { recordedAtMs }] of entries) {
+      if (recordedAtMs >= oldestMs && entries.size <= MAX_STREAMS) return
+      entries.delete(key)
+    }
+  }
+
+  function add<T extends Entry>(
+    entries: Map<number, T>,
+    key: number,
+    entry: T,
+  ): void {
+    entries.delete(key)
+    entries.set(key, entry)
+    removeOld(entries, entry.recordedAtMs)
+  }
+
+  return {
+    record(attemptId, service, softwareVersion, nowMs) {
+      const key = streamKeyOf(attemptId)
+      const entry = { service, softwareVersion, recordedAtMs: nowMs }
+      add(streams, key, entry)
+      add(unreported, key, entry)
+    },
+    merge(received, nowMs) {
+      for (const [key, softwareVersion] of received)
+        add(streams, key, { softwareVersion, recordedAtMs: nowMs })
+    },
+    find(attemptId, nowMs) {
+      removeOld(streams, nowMs)
+      return streams.get(streamKeyOf(attemptId))?.softwareVersion
+    },
+    takeUpdates(nowMs) {
+      removeOld(unreported, nowMs)
+      const updates: StreamVersion[] = []
+      for (const [key, { service, softwareVersion }] of unreported) {
+        if (updates.length === MAX_UPDATES) break
+        if (!isNeeded(service)) continue
+        unreported.delete(key)
+        updates.push([key, softwareVersion])
+      }
+      return updates
+    },
+    all(nowMs) {
+      removeOld(streams, nowMs)
+      return [...streams].map(([key, entry]) => [key, entry.softwareVersion])
+    },
+  }
+}
--- /dev/null
+++ b/packages/router/src/node/streams/createVersionHistory.ts
@@ -0,0 +1,84 @@
+import type { Target } from '../targets/target.js'
+
+/** A software version of a service and the milliseconds since one of its targets was listed. */
+export type ListedVersion = readonly [
+  service: string,
+  softwareVersion: string,
+  ageMs: number,
+]
+
+/** What a router knows of the software versions that services had. */
+export interface VersionHistoryState {
+  /** Milliseconds for which the router, or those that it learnt from, has followed the target list. */
+  readonly coveredMs: number
+  readonly versions: readonly ListedVersion[]
+}
+
+/** Software versions that the targets of each service had lately. */
+export interface VersionHistory {
+  /** Records the listed targets. */
+  observe(targets: Iterable<Target>, nowMs: number): void
+  /** Adds the history of a peer. */
+  merge(state: VersionHistoryState, nowMs: number): void
+  /** Returns the only version that a service had within the lifetime of a stream; undefined if there were others or they are unknown. */
+  soleVersion(service: string, nowMs: number): string | undefined
+  state(nowMs: number): VersionHistoryState
+}
+
+/**
+ * Creates a history without observations.
+ * @param lifetimeMs Returns the milliseconds for which a caller may still resume a stream.
+ */
+export function createVersionHistory(lifetimeMs: () => number): VersionHistory {
+  /** Time at which a target of each version was last listed; infinite while one is. */
+  const listedUntilMs = new Map<string, Map<string, number>>()
+  let coveredSinceMs = Infinity
+
+  function record(service: string, version: string, untilMs: number): void {
+    const versions = listedUntilMs.get(service) ?? new Map<string, number>()
+    listedUntilMs.set(service, versions)
+    versions.set(version, Math.max(versions.get(version) ?? 0, untilMs))
+  }
+
+  function endCurrent(nowMs: number): void {
+    for (const [service, versions] of listedUntilMs) {
+      for (const [version, untilMs] of versions) {
+        if (untilMs === Infinity) versions.set(version, nowMs)
+        else if (untilMs < nowMs - lifetimeMs()) versions.delete(version)
+      }
+      if (versions.size === 0) listedUntilMs.delete(service)
+    }
+  }
+
+  return {
+    observe(targets, nowMs) {
+      coveredSinceMs = Math.min(coveredSinceMs, nowMs)
+      endCurrent(nowMs)
+      for (const { service, softwareVersion } of targets)
+        record(service, softwareVersion, Infinity)
+    },
+    merge({ coveredMs, versions }, nowMs) {
+      coveredSinceMs = Math.min(coveredSinceMs, nowMs - coveredMs)
+      for (const [service, version, ageMs] of versions)
+        record(service, version, nowMs - ageMs)
+    },
+    soleVersion(service, nowMs) {
+      const sinceMs = nowMs - lifetimeMs()
+      if (coveredSinceMs > sinceMs) return undefined
+      let sole: string | undefined
+      for (const [version, untilMs] of listedUntilMs.get(service) ?? []) {
+        if (untilMs < sinceMs) continue
+        if (sole !== undefined) return undefined
+        sole = version
+      }
+      return sole
+    },
+    state(nowMs) {
+      const versions: ListedVersion[] = []
+      for (const [service, byVersion] of listedUntilMs)
+        for (const [version, untilMs] of byVersion)
+          versions.push([service, version, Math.max(0, nowMs - untilMs)])
+      return { coveredMs: Math.max(0, nowMs - coveredSinceMs), versions }
+    },
+  }
+}
--- a/packages/router/src/node/targets/createTargetList.ts
+++ b/packages/router/src/node/targets/createTargetList.ts
@@ -28,6 +28,8 @@
   ids(): readonly string[]
   /** Returns a hash of the targets, to compare two lists. */
   fingerprint(): number
+  /** Increases with each change of the list. */
+  readonly revision: number
   set(target: Target): void
   remove(id: string, nowMs: number): void
   /** Starts the rejoin window after an outage, in which removed targets stay as their entries may return. */
@@ -53,6 +55,7 @@
   let fingerprint: number | undefined
   let ids: readonly string[] | undefined
   let rejoinUntilMs = -Infinity
+  let revision = 0
 
   function indexByService(): Map<string, Target[]> {
     const index = new Map<string, Target[]>()
@@ -66,6 +69,7 @@
   }
 
   function invalidateIndexes(): void {
+    revision += 1
     byService = undefined
     fingerprint = undefined
     ids = undefined
@@ -116,6 +120,9 @@
         : undefined
     },
     all: () => targets.values(),
+    get revision() {
+      return revision
+    },
     ids() {
       ids ??= [...targets.keys()].sort()
       return ids
