Know from the first start of the fleet that no stream is older

Cause: a starting router without a peer cannot know which versions were there before it. When the whole fleet starts for the first time, nothing was. A later start still learns it from a peer or has to follow the list for that long.

--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -100,6 +100,7 @@
   })
   const streams = createResumableStreams({
     targetList,
+    startsFleet: settings.router.startsFleet,
     isListLoaded: () => targets.isLoaded(),
     // Live peers pass on any newer list that one of them has.
     isListFresh: () =>
--- a/packages/router/src/node/routing/__tests__/cacheTargetLoss.test.ts
+++ b/packages/router/src/node/routing/__tests__/cacheTargetLoss.test.ts
@@ -47,6 +47,7 @@
     stallDetector: createStallDetector(1_000),
     streams: createResumableStreams({
       targetList,
+      startsFleet: false,
       isListLoaded: () => true,
       isListFresh: () => true,
       lifetimeMs: () => 0,
--- a/packages/router/src/node/settings/settingsSchema.ts
+++ b/packages/router/src/node/settings/settingsSchema.ts
@@ -18,6 +18,11 @@
   router: v.object({
     id: v.pipe(v.string(), v.minLength(1)),
     dataCentre: v.pipe(v.string(), v.minLength(1)),
+    /**
+     * Whether the whole fleet starts for the first time, so that no stream is older.
+     * @default false
+     */
+    startsFleet: v.optional(v.boolean(), false),
   }),
   listen: v.object({
     callers: addressSchema,
--- a/packages/router/src/node/streams/createResumableStreams.ts
+++ b/packages/router/src/node/streams/createResumableStreams.ts
@@ -18,6 +18,8 @@
 /** Options for {@link createResumableStreams}. */
 export interface ResumableStreamsOptions {
   readonly targetList: TargetList
+  /** Whether the whole fleet starts for the first time. */
+  readonly startsFleet: boolean
   /** Whether the target list was loaded. */
   readonly isListLoaded: () => boolean
   /** Whether a target that another router knows would be listed here too. */
@@ -52,6 +54,8 @@
   const { targetList, lifetimeMs, now } = options
   const history = createVersionHistory(lifetimeMs)
   let observedRevision: number | undefined
+  if (options.startsFleet)
+    history.merge({ coveredMs: Number.MAX_SAFE_INTEGER, versions: [] }, now())
 
   function observeTargets(): void {
     if (!options.isListLoaded()) return
