--- a/packages/router/src/node/constants.ts
+++ b/packages/router/src/node/constants.ts
@@ -20,8 +20,6 @@
 export const DIRECTORY_POLL_MS = 15_000
 /** Milliseconds after an outage of the target list within which lost entries return. */
 export const REJOIN_WINDOW_MS = 2_200
-/** A target list up to this age, in milliseconds, has every target that other routers may have sent requests to. */
-export const FRESH_LIST_AGE_MS = 1_000
 /** Outages of the target list up to this length, in milliseconds, lose no entries. */
 export const SHORT_OUTAGE_MS = 1_000
 /** A peer's last poll is fresh for the time in which a change must take effect, divided by this. */
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -30,6 +30,7 @@
 import type { RouterSettings } from './settings/settingsSchema.js'
 import { createResumableStreams } from './streams/createResumableStreams.js'
 import { createStreamLifetime } from './streams/createStreamLifetime.js'
+import { isListFresh } from './streams/isListFresh.js'
 import { watchPauses } from './watchPauses.js'
 import { createTargetClient } from './targets/createTargetClient.js'
 import { createTargetList } from './targets/createTargetList.js'
@@ -102,9 +103,7 @@
     targetList,
     startsFleet: settings.router.startsFleet,
     isListLoaded: () => targets.isLoaded(),
-    // Live peers pass on any newer list that one of them has.
-    isListFresh: () =>
-      livePeerCount() > 0 || targets.ageMs() <= constants.FRESH_LIST_AGE_MS,
+    isListFresh: () => isListFresh(targets.ageMs(), livePeerCount()),
     lifetimeMs: createStreamLifetime(() => configurationStore.current),
     now,
   })
