--- a/packages/router/src/node/callers/callProgress.ts
+++ b/packages/router/src/node/callers/callProgress.ts
@@ -2,6 +2,7 @@
 import { Verdict } from '@auburnbay/core/verdict/verdict'
 import { RequestKind } from '../configuration/requestKind.js'
 import type { Placement } from '../routing/placement.js'
+import { isResumable } from '../streams/isResumable.js'
 import { TargetFailureCause } from '../targets/targetFailure.js'
 import type { Call } from './call.js'
 import type { ResponseRelay } from './createResponseRelay.js'
@@ -42,10 +43,7 @@
 }
 
 function isRetryable({ route }: Call): boolean {
-  return (
-    route.kind === RequestKind.Idempotent ||
-    (route.kind === RequestKind.Stream && route.resumable)
-  )
+  return route.kind === RequestKind.Idempotent || isResumable(route)
 }
 
 /** Returns whether the call may be sent again although a target may have run it. */
--- a/packages/router/src/node/callers/createResponseRelay.ts
+++ b/packages/router/src/node/callers/createResponseRelay.ts
@@ -5,6 +5,7 @@
 import { createEventSplitter } from './createEventSplitter.js'
 import { relayBody } from './relayBody.js'
 import { RelayOutcome } from './relayOutcome.js'
+import { isResumable } from '../streams/isResumable.js'
 import { RequestKind } from '../configuration/requestKind.js'
 
 /** Response bytes that are buffered so that a truncated response can be replaced. */
@@ -96,7 +97,7 @@
       return splitter.lastEventId
     },
     get canReplace() {
-      return !headersSent || (isStream && route.resumable)
+      return !headersSent || isResumable(route)
     },
     accepts: ({ head }) => !headersSent || head.status === RESUMED_STATUS,
     forward: (response, onChunk) =>
