--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -34,6 +34,7 @@
   resolveFailure,
 } from './callProgress.js'
 import { createResponseRelay } from './createResponseRelay.js'
+import { loggedPartIds } from './loggedPartIds.js'
 import { createRetryCharger } from './createRetryCharger.js'
 import { NextStep } from './nextStep.js'
 import { RelayOutcome } from './relayOutcome.js'
@@ -108,6 +109,7 @@
       verdict: failure.verdict,
       cause: failure.cause,
       reason: failure.message,
+      parts: loggedPartIds(call.request.promptParts),
     })
     if (failure.cause === TargetFailureCause.Aborted) return NextStep.Done
     if (failure.verdict === Verdict.NotRun) return NextStep.Retry
@@ -164,6 +166,7 @@
       cause: TargetFailureCause.Broken,
       reason: 'truncated response',
       lastEvent: progress.relay.lastEventId,
+      parts: loggedPartIds(call.request.promptParts),
     })
     return canRetry(call, progress) ? NextStep.Retry : NextStep.Done
   }
