Refuse requests with a prompt part under which targets crash

Cause: routers keep the outcome of a request by target only. The next request with the part went to the next target, at any router. Class: a fault of the request is kept as a fault of the target, and each router learns it anew. Change: a target that breaks off as it begins to answer is reported with the shared parts of its request. A part under which three targets crashed, each under a request sent after the crash before, with no answer in between at any router, is harmful; a request that has it, and all that its crashed requests have in common, is refused as not run. The reports are shared records: digests carry them, each router passes on what it learns once, and a router whose records differ from a peer's for a second fetches them. Harmful parts are written to the log, which a starting router lists; one without live peers polls it. Why it works: a sound part is answered somewhere between two crashes, a harmful one never; a rack that fails at once counts once, since its requests were sent before; requests that share only other parts go on and clear them. Tried first: counting crashes at least 250 ms apart.

--- a/packages/core/src/node/verdict/failureCode.ts
+++ b/packages/core/src/node/verdict/failureCode.ts
@@ -9,6 +9,7 @@
   NoTarget = 'no-target',
   Overloaded = 'overloaded',
   UnknownStream = 'unknown-stream',
+  HarmfulPrompt = 'harmful-prompt',
   LimitReached = 'limit-reached',
   DeadlinePassed = 'deadline-passed',
   TargetUnreachable = 'target-unreachable',
--- a/packages/measure/src/node/placing/measureDigests.ts
+++ b/packages/measure/src/node/placing/measureDigests.ts
@@ -41,6 +41,8 @@
     ...encodeLoad(ids, loads),
     placed: [...locations],
     streams: [['v1.1', ...streamKeys]],
+    records: [],
+    recordsFingerprint: 4_000_000_000,
   })
   return digest.length + HEADER_BYTES
 }
--- a/packages/router/src/node/callers/__tests__/createEventSplitter.test.ts
+++ b/packages/router/src/node/callers/__tests__/createEventSplitter.test.ts
@@ -33,6 +33,7 @@
           }
           assert.equal(output, complete)
           assert.equal(splitter.atEventBoundary, tail === 0)
+          assert.equal(splitter.events, count)
           const last = count > 0 ? String(count - 1) : undefined
           assert.equal(splitter.lastEventId, last)
         },
--- a/packages/router/src/node/callers/callProgress.ts
+++ b/packages/router/src/node/callers/callProgress.ts
@@ -1,6 +1,7 @@
 import type { RequestFailure } from '@auburnbay/core/verdict/requestFailure'
 import { Verdict } from '@auburnbay/core/verdict/verdict'
 import { RequestKind } from '../configuration/requestKind.js'
+import type { HarmfulPart } from '../prompts/harmfulPart.js'
 import type { Placement } from '../routing/placement.js'
 import { isResumable } from '../streams/isResumable.js'
 import { TargetFailureCause } from '../targets/targetFailure.js'
@@ -21,10 +22,14 @@
   /** Sends that a target ran or may have run. */
   possibleRuns: number
   sends: number
+  /** Time of the last send on the monotonic clock, in milliseconds. */
+  sentAtMs: number
   verdict: Verdict
   lastCause?: TargetFailureCause
   /** Placement of the last send. */
   placement?: Placement
+  /** Prompt part for which the call is not sent to a target, or not to a further one. */
+  harmfulPart?: HarmfulPart | undefined
 }
 
 /** Creates the progress of a call that has not been sent yet. */
@@ -38,6 +43,7 @@
     tried: new Set(),
     possibleRuns: 0,
     sends: 0,
+    sentAtMs: -Infinity,
     verdict: Verdict.NotRun,
   }
 }
--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -1,15 +1,15 @@
 import type { ServerResponse } from 'node:http'
 import { TargetOutcome } from '@auburnbay/core/health/targetOutcome'
-import { combineVerdicts } from '@auburnbay/core/verdict/attemptProgress'
+import type { RequestFailure } from '@auburnbay/core/verdict/requestFailure'
 import { Verdict } from '@auburnbay/core/verdict/verdict'
 import type { StallDetector } from '../health/createStallDetector.js'
 import type { TargetHealth } from '../health/createTargetHealth.js'
-import { classifyFailure } from '../health/classifyFailure.js'
 import { createHeaderTimeout } from '../limits/createHeaderTimeout.js'
 import type { RetryBudget } from '../limits/createRetryBudget.js'
 import type { DecisionLog } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
 import type { RouterMetrics } from '../metrics/routerMetrics.js'
+import type { HarmfulParts } from '../prompts/createHarmfulParts.js'
 import type { FleetLoad } from '../routing/createFleetLoad.js'
 import type { TargetSelector } from '../routing/createTargetSelector.js'
 import type { Placement } from '../routing/placement.js'
@@ -18,10 +18,7 @@
   TargetClient,
 } from '../targets/createTargetClient.js'
 import type { Target } from '../targets/target.js'
-import {
-  type TargetFailure,
-  TargetFailureCause,
-} from '../targets/targetFailure.js'
+import { TargetFailureCause } from '../targets/targetFailure.js'
 import type { TargetProtocol } from '../targets/targetProtocol.js'
 import type { Call } from './call.js'
 import type { DispatchOutcome } from './dispatchOutcome.js'
@@ -33,11 +30,14 @@
   MIN_REMAINING_MS,
   resolveFailure,
 } from './callProgress.js'
+import { createFailureHandler } from './createFailureHandler.js'
 import { createResponseRelay } from './createResponseRelay.js'
 import { loggedPartIds } from './loggedPartIds.js'
 import { createRetryCharger } from './createRetryCharger.js'
 import { NextStep } from './nextStep.js'
+import { failures } from './failures.js'
 import { RelayOutcome } from './relayOutcome.js'
+import { sharedPartIds } from './sharedPartIds.js'
 import { targetSendOf } from './targetSendOf.js'
 import { waitForCacheLocation } from './waitForCacheLocation.js'
 
@@ -54,6 +54,7 @@
   readonly stallDetector: StallDetector
   readonly client: TargetClient
   readonly protocol: TargetProtocol
+  readonly harmfulParts: HarmfulParts
   readonly retryBudgetFor: (service: string) => RetryBudget
   /** Returns the milliseconds until the cache locations of a starting router are complete; 0 once they are. */
   readonly recoveryMs: () => number
@@ -72,8 +73,10 @@
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const headerTimeout = createHeaderTimeout()
   const retryCharger = createRetryCharger(options)
+  const handleFailure = createFailureHandler(options)
   const { load, selector, health, stallDetector, client, log, metrics, now } =
     options
+  const { harmfulParts } = options
 
   function headerTimeoutMs(
     call: Call,
@@ -86,36 +89,6 @@
     return Math.min(remainingMs, headerTimeout.timeoutMs(name, targetLatencyMs))
   }
 
-  function handleFailure(
-    call: Call,
-    target: Target,
-    progress: CallProgress,
-    failure: TargetFailure,
-  ): NextStep {
-    const handling = classifyFailure(failure.cause)
-    if (handling.countsAgainstHealth)
-      health.recordOutcome(target, TargetOutcome.Failure, now())
-    if (handling.avoidMs > 0) health.avoid(target.id, handling.avoidMs, now())
-    if (handling.retiresConnections) client.retireConnections(target)
-    if (failure.cause === TargetFailureCause.Unreachable)
-      health.recordUnreachable(target.id, now())
-    progress.verdict = combineVerdicts(progress.verdict, failure.verdict)
-    progress.lastCause = failure.cause
-    if (failure.verdict !== Verdict.NotRun) progress.possibleRuns += 1
-    log.write(LogEvent.RequestSent, {
-      request: call.request.attemptId,
-      target: target.id,
-      send: progress.sends,
-      verdict: failure.verdict,
-      cause: failure.cause,
-      reason: failure.message,
-      parts: loggedPartIds(call.request.promptParts),
-    })
-    if (failure.cause === TargetFailureCause.Aborted) return NextStep.Done
-    if (failure.verdict === Verdict.NotRun) return NextStep.Retry
-    return canRetry(call, progress) ? NextStep.Retry : NextStep.Done
-  }
-
   // A server error of the target is forwarded unless the call can be retried elsewhere.
   function shouldRetryServerError(
     call: Call,
@@ -147,12 +120,23 @@
       response.res.resume()
       return NextStep.RetryCharged
     }
-    const relayOutcome = progress.relay.accepts(response)
+    const isAccepted = progress.relay.accepts(response)
+    const relayOutcome = isAccepted
       ? await progress.relay.forward(response, () => {
           stallDetector.recordActivity(target.id, now())
         })
       : RelayOutcome.Broken
+    const parts = sharedPartIds(call.request.promptParts)
+    if (relayOutcome === RelayOutcome.Complete && !isError)
+      harmfulParts.recordAnswered(parts)
     if (relayOutcome !== RelayOutcome.Broken) return NextStep.Done
+    if (isAccepted && progress.relay.endedAtStart)
+      harmfulParts.recordCrash(call.request.attemptId, {
+        targetId: target.id,
+        sentAtMs: progress.sentAtMs,
+        crashedAtMs: now(),
+        parts,
+      })
     if (progress.relay.lastEventId !== undefined)
       progress.softwareVersion ??= target.softwareVersion
     response.res.destroy()
@@ -181,6 +165,7 @@
     progress.tried.add(target.id)
     progress.sends += 1
     const sentAtMs = now()
+    progress.sentAtMs = sentAtMs
     load.recordStart(target.id, prefillTokens)
     metrics.recordPlacement(call.service, placement.reason, prefillTokens)
     selector.recordSent(call, target)
@@ -210,6 +195,14 @@
     }
   }
 
+  function failureOf(call: Call, progress: CallProgress): RequestFailure {
+    const { harmfulPart, verdict } = progress
+    if (!harmfulPart || verdict !== Verdict.NotRun)
+      return resolveFailure(call, progress, now())
+    const retryAfterS = harmfulParts.remainingS(harmfulPart)
+    return { ...failures.harmfulPrompt, retryAfterS }
+  }
+
   async function dispatch(
     call: Call,
     res: ServerResponse,
@@ -222,8 +215,11 @@
       recoveryMs: options.recoveryMs,
     })
 
+    const parts = sharedPartIds(call.request.promptParts)
     while (progress.sends < MAX_SENDS && !call.signal.aborted) {
       if (call.deadlineAtMs - now() < MIN_REMAINING_MS) break
+      progress.harmfulPart = harmfulParts.find(parts)
+      if (progress.harmfulPart) break
       const placement = selector.select(call, progress)
       if (!placement) break
       const next = await sendTo(call, placement, progress)
@@ -240,7 +236,7 @@
       sends,
       ...(placement && { placement }),
       ...(!res.writableEnded && {
-        failure: resolveFailure(call, progress, now()),
+        failure: failureOf(call, progress),
       }),
     }
   }
--- a/packages/router/src/node/callers/createEventSplitter.ts
+++ b/packages/router/src/node/callers/createEventSplitter.ts
@@ -2,8 +2,10 @@
 export interface EventSplitter {
   /** Buffers a chunk; returns the events that it completes. */
   push(chunk: Buffer): Buffer | undefined
-  /** Discards the incomplete event. */
+  /** Begins a new stream: discards the incomplete event and sets the number of events to 0. */
   reset(): void
+  /** Number of complete events. */
+  readonly events: number
   /** Id of the last complete event. */
   readonly lastEventId: string | undefined
   /** Whether no incomplete event is buffered. */
@@ -20,10 +22,21 @@
   return id
 }
 
+function countEvents(bytes: Buffer): number {
+  let count = 0
+  let end = bytes.indexOf(EVENT_END)
+  while (end >= 0) {
+    count += 1
+    end = bytes.indexOf(EVENT_END, end + EVENT_END.length)
+  }
+  return count
+}
+
 /** Creates a splitter for one stream. */
 export function createEventSplitter(): EventSplitter {
   let incomplete: Buffer | undefined
   let lastEventId: string | undefined
+  let events = 0
 
   return {
     push(chunk) {
@@ -37,11 +50,16 @@
       incomplete =
         boundary < bytes.length ? bytes.subarray(boundary) : undefined
       const complete = bytes.subarray(0, boundary)
+      events += countEvents(complete)
       lastEventId = findLastId(complete) ?? lastEventId
       return complete
     },
     reset() {
       incomplete = undefined
+      events = 0
+    },
+    get events() {
+      return events
     },
     get lastEventId() {
       return lastEventId
--- /dev/null
+++ b/packages/router/src/node/callers/createFailureHandler.ts
@@ -0,0 +1,65 @@
+import { TargetOutcome } from '@auburnbay/core/health/targetOutcome'
+import { combineVerdicts } from '@auburnbay/core/verdict/attemptProgress'
+import { Verdict } from '@auburnbay/core/verdict/verdict'
+import { classifyFailure } from '../health/classifyFailure.js'
+import type { TargetHealth } from '../health/createTargetHealth.js'
+import type { DecisionLog } from '../logging/decisionLog.js'
+import { LogEvent } from '../logging/logEvent.js'
+import type { TargetClient } from '../targets/createTargetClient.js'
+import type { Target } from '../targets/target.js'
+import {
+  type TargetFailure,
+  TargetFailureCause,
+} from '../targets/targetFailure.js'
+import type { Call } from './call.js'
+import { type CallProgress, canRetry } from './callProgress.js'
+import { loggedPartIds } from './loggedPartIds.js'
+import { NextStep } from './nextStep.js'
+
+/** Options for {@link createFailureHandler}. */
+export interface FailureHandlerOptions {
+  readonly health: TargetHealth
+  readonly client: TargetClient
+  readonly log: DecisionLog
+  /** Monotonic clock, in milliseconds. */
+  readonly now: () => number
+}
+
+/** Records a send without a response that may be forwarded; returns what follows it. */
+export type FailureHandler = (
+  call: Call,
+  target: Target,
+  progress: CallProgress,
+  failure: TargetFailure,
+) => NextStep
+
+/** Creates a failure handler. */
+export function createFailureHandler(
+  options: FailureHandlerOptions,
+): FailureHandler {
+  const { health, client, log, now } = options
+  return (call, target, progress, failure) => {
+    const handling = classifyFailure(failure.cause)
+    if (handling.countsAgainstHealth)
+      health.recordOutcome(target, TargetOutcome.Failure, now())
+    if (handling.avoidMs > 0) health.avoid(target.id, handling.avoidMs, now())
+    if (handling.retiresConnections) client.retireConnections(target)
+    if (failure.cause === TargetFailureCause.Unreachable)
+      health.recordUnreachable(target.id, now())
+    progress.verdict = combineVerdicts(progress.verdict, failure.verdict)
+    progress.lastCause = failure.cause
+    if (failure.verdict !== Verdict.NotRun) progress.possibleRuns += 1
+    log.write(LogEvent.RequestSent, {
+      request: call.request.attemptId,
+      target: target.id,
+      send: progress.sends,
+      verdict: failure.verdict,
+      cause: failure.cause,
+      reason: failure.message,
+      parts: loggedPartIds(call.request.promptParts),
+    })
+    if (failure.cause === TargetFailureCause.Aborted) return NextStep.Done
+    if (failure.verdict === Verdict.NotRun) return NextStep.Retry
+    return canRetry(call, progress) ? NextStep.Retry : NextStep.Done
+  }
+}
--- a/packages/router/src/node/callers/createResponseRelay.ts
+++ b/packages/router/src/node/callers/createResponseRelay.ts
@@ -24,6 +24,8 @@
   accepts(response: TargetResponse): boolean
   /** Id of the last complete event that was forwarded. */
   readonly lastEventId: string | undefined
+  /** Whether the last response ended before its second event; true for one that is no stream. */
+  readonly endedAtStart: boolean
   /** Forwards a response; an interrupted stream continues after its last event. */
   forward(response: TargetResponse, onChunk: () => void): Promise<RelayOutcome>
 }
@@ -96,6 +98,9 @@
     get lastEventId() {
       return splitter.lastEventId
     },
+    get endedAtStart() {
+      return !isStream || splitter.events <= 1
+    },
     get canReplace() {
       return !headersSent || isResumable(route)
     },
--- a/packages/router/src/node/callers/failures.ts
+++ b/packages/router/src/node/callers/failures.ts
@@ -65,6 +65,11 @@
     'the targets that were asked refused; try again later',
     OTHER_TARGET_RETRY_AFTER_S,
   ),
+  harmfulPrompt: createNotRunFailure(
+    FailureCode.HarmfulPrompt,
+    503,
+    'targets crashed when they answered requests with a part of this prompt; change the prompt',
+  ),
   unknownStream: createNotRunFailure(
     FailureCode.UnknownStream,
     503,
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -1,30 +1,27 @@
 import { performance } from 'node:perf_hooks'
-import { setTimeout as sleep } from 'node:timers/promises'
-import { randomBytes } from 'node:crypto'
 import { formatAddress } from '@auburnbay/http-utils/listen'
 import { createCallerServer } from './callers/createCallerServer.js'
 import { createDispatcher } from './callers/createDispatcher.js'
 import { createConfigurationActivator } from './configuration/createConfigurationActivator.js'
 import { createConfigurationStore } from './configuration/createConfigurationStore.js'
 import * as constants from './constants.js'
-import { createStallDetector } from './health/createStallDetector.js'
-import { createTargetHealth } from './health/createTargetHealth.js'
-import { HEALTH_OPTIONS } from './health/constants.js'
 import { createRetryBudgets } from './limits/createRetryBudgets.js'
 import { retryBoundsOf } from './limits/retryBoundsOf.js'
 import type { DecisionLog } from './logging/decisionLog.js'
 import { LogEvent } from './logging/logEvent.js'
+import { createGracefulStop } from './stopping/createGracefulStop.js'
 import { createReadinessServer } from './stopping/createReadinessServer.js'
 import { createMetricsServer } from './metrics/createMetricsServer.js'
 import { createRouterMetrics } from './metrics/createRouterMetrics.js'
 import { createFleetSize } from './peers/createFleetSize.js'
+import { createIncarnation } from './peers/createIncarnation.js'
 import { createPeers, type Peers } from './peers/createPeers.js'
-import { maxLoadAgeMs } from './peers/maxLoadAgeMs.js'
+import { createSharedRecords } from './peers/createSharedRecords.js'
 import { createRouterState } from './peers/createRouterState.js'
+import { createHarmfulPartGuard } from './prompts/createHarmfulPartGuard.js'
 import type { RouterPorts } from './routerPorts.js'
-import { createFleetLoad } from './routing/createFleetLoad.js'
-import { createCacheLocations } from './routing/createCacheLocations.js'
 import { createCacheRecovery } from './routing/createCacheRecovery.js'
+import { createRoutingState } from './routing/createRoutingState.js'
 import { createTargetSelector } from './routing/createTargetSelector.js'
 import { createLogFollowers } from './sources/createLogFollowers.js'
 import type { RouterSettings } from './settings/settingsSchema.js'
@@ -33,10 +30,6 @@
 import { isListFresh } from './streams/isListFresh.js'
 import { watchPauses } from './watchPauses.js'
 import { createTargetClient } from './targets/createTargetClient.js'
-import { createTargetList } from './targets/createTargetList.js'
-
-/** Length of the random id of one run of a router, in bytes. */
-const INCARNATION_BYTES = 4
 
 /** A running router. */
 export interface Router {
@@ -58,23 +51,27 @@
   let settings = initial
   let stopping = false
   const now = (): number => performance.now()
-  const incarnation = randomBytes(INCARNATION_BYTES).toString('hex')
+  const incarnation = createIncarnation()
   // Assigned below: components that broadcast to peers are created before the peers.
   const peers: { current?: Peers } = {}
   const configurationStore = createConfigurationStore()
-  const targetList = createTargetList(
-    constants.REJOIN_WINDOW_MS,
-    () => settings.bounds.drainMs,
-  )
   const livePeerCount = (): number => peers.current?.livePeers().length ?? 0
-  const load = createFleetLoad(() => maxLoadAgeMs(livePeerCount() + 1))
-  const stallDetector = createStallDetector(constants.STALL_TIMEOUT_MS)
-  const cacheLocations = createCacheLocations(constants.MAX_CACHE_LOCATIONS)
+  const { targetList, load, stallDetector, cacheLocations, health } =
+    createRoutingState({
+      drainMs: () => settings.bounds.drainMs,
+      livePeerCount,
+      log,
+    })
   const fleetSize = createFleetSize(settings.router.id)
-  const metrics = createRouterMetrics()
-  const health = createTargetHealth(HEALTH_OPTIONS, (target, change) => {
-    log.write(LogEvent.TargetHealth, { target: target.id, change })
+  const records = createSharedRecords({
+    origin: incarnation,
+    lifetimeMs: constants.RECORD_LIFETIME_MS,
+    onUpdate: () => {
+      peers.current?.scheduleBroadcast()
+    },
+    now,
   })
+  const metrics = createRouterMetrics()
 
   const applyConfiguration = createConfigurationActivator(
     configurationStore,
@@ -116,6 +113,7 @@
     cacheLocations,
     fleetSize,
     streams,
+    records,
     directory: ports.directory,
     logRestores: ports.logRestores,
     isStopping: () => stopping,
@@ -123,6 +121,14 @@
     now,
   })
 
+  const harmfulPartGuard = createHarmfulPartGuard({
+    records,
+    store: ports.harmfulParts,
+    logRestores: ports.logRestores,
+    hasPeers: () => livePeerCount() > 0,
+    log,
+    now,
+  })
   const isReady = (): boolean =>
     !stopping && configurationStore.current !== undefined && targets.isLoaded()
   const sharesCache = (service: string): boolean =>
@@ -179,6 +185,7 @@
       stallDetector,
       client,
       protocol: ports.targetProtocol,
+      harmfulParts: harmfulPartGuard.parts,
       retryBudgetFor,
       recoveryMs: () => cacheRecovery.remainingMs(),
       log,
@@ -206,35 +213,28 @@
     incarnation,
   })
 
-  async function waitForRequests(untilMs: number): Promise<void> {
-    while (callers.inFlight > 0 && now() < untilMs)
-      await sleep(constants.STOP_CHECK_MS)
-  }
-
-  async function stopOnce(): Promise<void> {
-    stopping = true
-    const startedAtMs = now()
-    log.write(LogEvent.Stopping, { inFlight: callers.inFlight })
-    callers.disableKeepAlive()
-    peers.current?.broadcast()
-    const gracePeriodMs = settings.bounds.gracePeriodS * 1_000
-    const endMs = startedAtMs + gracePeriodMs - constants.STOP_MARGIN_MS
-    await sleep(Math.min(constants.LOAD_BALANCER_DELAY_MS, gracePeriodMs / 2))
-    callers.stopAccepting()
-    await waitForRequests(endMs)
-    log.write(LogEvent.Stopped, { brokenOff: callers.inFlight })
-    callers.close()
-    stopWatchingPauses()
-    cacheRecovery.stop()
-    configurations.stop()
-    targets.stop()
-    peers.current?.close()
-    client.close()
-    metricsServer?.close()
-    await readiness.close()
-  }
+  const stop = createGracefulStop({
+    callers,
+    gracePeriodMs: () => settings.bounds.gracePeriodS * 1_000,
+    onStopping: () => {
+      stopping = true
+      peers.current?.broadcast()
+    },
+    close: async () => {
+      stopWatchingPauses()
+      cacheRecovery.stop()
+      configurations.stop()
+      targets.stop()
+      harmfulPartGuard.stop()
+      peers.current?.close()
+      client.close()
+      metricsServer?.close()
+      await readiness.close()
+    },
+    log,
+    now,
+  })
 
-  let stopped: Promise<void> | undefined
   return {
     address: formatAddress(callers.address),
     get ready() {
@@ -244,6 +244,6 @@
       settings = changed
       log.write(LogEvent.SettingsReloaded, {})
     },
-    stop: () => (stopped ??= stopOnce()),
+    stop,
   }
 }
--- a/packages/router/src/node/logging/logEvent.ts
+++ b/packages/router/src/node/logging/logEvent.ts
@@ -19,6 +19,8 @@
   LogRestored = 'log-restored',
   RestoreCountRejected = 'restore-count-rejected',
   EntryRejected = 'entry-rejected',
+  PartBlocked = 'part-blocked',
+  PartAllowed = 'part-allowed',
   PeerFound = 'peer-found',
   PeerLost = 'peer-lost',
   PeerFailed = 'peer-failed',
--- a/packages/router/src/node/peers/__tests__/testDigest.ts
+++ b/packages/router/src/node/peers/__tests__/testDigest.ts
@@ -17,6 +17,8 @@
     placed: [['prompt', 1]],
     logRestores: 3,
     streams: [['v1', 7]],
+    records: [['first', 1, 'crash', 'attempt', ['i-1', 'part'], 20]],
+    recordsFingerprint: 5,
     ...fields,
   }
 }
--- a/packages/router/src/node/peers/createPeerStateFetcher.ts
+++ b/packages/router/src/node/peers/createPeerStateFetcher.ts
@@ -4,9 +4,12 @@
 import type { CacheLocations } from '../routing/createCacheLocations.js'
 import type { ResumableStreams } from '../streams/createResumableStreams.js'
 import type { Peer } from './createPeerTable.js'
+import { createRecordsComparison } from './createRecordsComparison.js'
+import type { SharedRecords } from './createSharedRecords.js'
 import { statePath } from './createPeerStateServer.js'
 import { decodePeerState } from './peerState.js'
 import type { RouterState } from './routerState.js'
+import { decodeRecord } from './sharedRecord.js'
 
 /** Timeout of a fetch, in milliseconds. */
 const FETCH_TIMEOUT_MS = 800
@@ -18,6 +21,7 @@
   readonly routerState: RouterState
   readonly cacheLocations: CacheLocations
   readonly streams: ResumableStreams
+  readonly records: SharedRecords
   readonly log: DecisionLog
   /** Monotonic clock, in milliseconds. */
   readonly now: () => number
@@ -40,15 +44,24 @@
 export function createPeerStateFetcher(
   options: PeerStateFetcherOptions,
 ): PeerStateFetcher {
-  const { routerState, cacheLocations, streams, log, now } = options
+  const { routerState, cacheLocations, streams, records, log, now } = options
+  const recordsComparison = createRecordsComparison()
   let isFetching = false
   let hasFetched = false
   let needsCacheLocations = true
 
+  /** Whether records of a peer have not arrived here, or ours not there. */
+  function hasMissedRecords({ router, digest }: Peer): boolean {
+    const fingerprint = digest?.recordsFingerprint ?? null
+    if (fingerprint === null) return false
+    const own = records.fingerprint()
+    return recordsComparison.hasMissed(router, fingerprint, own, now())
+  }
+
   function hasNewer(peer: Peer): boolean {
     const { digest } = peer
     if (!digest) return false
-    if (needsCacheLocations) return true
+    if (needsCacheLocations || hasMissedRecords(peer)) return true
     if (digest.configurationVersion > routerState.configurationVersion())
       return true
     const ageMs = targetsAgeOf(peer, now())
@@ -59,7 +72,7 @@
     return false
   }
 
-  async function fetchState({ router, address }: Peer): Promise<void> {
+  async function fetchState({ router, address, digest }: Peer): Promise<void> {
     const { host, port } = address
     const path = statePath({
       knownVersion: routerState.configurationVersion(),
@@ -67,6 +80,7 @@
         targetsFingerprint: routerState.targetsFingerprint(),
       }),
       wantsPlacements: needsCacheLocations,
+      wantsRecords: digest?.recordsFingerprint !== records.fingerprint(),
     })
     const sentAtMs = now()
     const response = await requestBytes({
@@ -83,6 +97,10 @@
       return
     }
     hasFetched = true
+    recordsComparison.recordFetched(router)
+    records.merge(
+      (state.records ?? []).map((record) => decodeRecord(record, now())),
+    )
     const { configuration, placements, targets, targetsAgeMs } = state
     if (state.resumableStreams) streams.applyState(state.resumableStreams)
     if (configuration) routerState.applyConfiguration(configuration, router)
--- a/packages/router/src/node/peers/createPeerStateServer.ts
+++ b/packages/router/src/node/peers/createPeerStateServer.ts
@@ -16,6 +16,7 @@
   KnownVersion = 'known',
   TargetsFingerprint = 'targets',
   Placements = 'placements',
+  Records = 'records',
 }
 
 /** Returns the path and query of a request for a peer's state. */
@@ -27,6 +28,7 @@
       [Parameter.TargetsFingerprint]: String(targetsFingerprint),
     }),
     ...(query.wantsPlacements && { [Parameter.Placements]: '' }),
+    ...(query.wantsRecords && { [Parameter.Records]: '' }),
   })
   return `${STATE_PATH}?${search.toString()}`
 }
@@ -37,6 +39,7 @@
     knownVersion: Number(search.get(Parameter.KnownVersion) ?? 0),
     ...(fingerprint !== null && { targetsFingerprint: Number(fingerprint) }),
     wantsPlacements: search.has(Parameter.Placements),
+    wantsRecords: search.has(Parameter.Records),
   }
 }
 
--- a/packages/router/src/node/peers/createPeers.ts
+++ b/packages/router/src/node/peers/createPeers.ts
@@ -7,24 +7,22 @@
 import type { CacheLocations } from '../routing/createCacheLocations.js'
 import type { RouterSettings } from '../settings/settingsSchema.js'
 import type { ResumableStreams } from '../streams/createResumableStreams.js'
-import {
-  decodeStreamVersions,
-  encodeStreamVersions,
-} from '../streams/streamVersion.js'
+import { decodeStreamVersions } from '../streams/streamVersion.js'
+import { createDigestBuilder } from './createDigestBuilder.js'
 import { createDigestSocket } from './createDigestSocket.js'
 import type { FleetSize } from './createFleetSize.js'
-import { createPendingUpdates } from './createPendingUpdates.js'
 import { createPeerStateServer } from './createPeerStateServer.js'
 import { createPeerStateSource } from './createPeerStateSource.js'
+import type { SharedRecords } from './createSharedRecords.js'
 import { createPeerTable, type Peer } from './createPeerTable.js'
 import { createPeerStateFetcher } from './createPeerStateFetcher.js'
 import { joinDirectory } from './joinDirectory.js'
 import type { PeerDigest } from './peerDigest.js'
 import { cacheLocationsOf } from './cacheLocationsOf.js'
-import { decodeLoad, encodeLoad } from './digestLoad.js'
+import { decodeLoad } from './digestLoad.js'
 import { hasFreshReader, type PollAge } from './hasFreshReader.js'
-import { finiteOrNull } from './finiteOrNull.js'
 import type { RouterState } from './routerState.js'
+import { decodeRecord } from './sharedRecord.js'
 
 /** Options for {@link createPeers}. */
 export interface PeersOptions {
@@ -37,6 +35,7 @@
   readonly cacheLocations: CacheLocations
   readonly fleetSize: FleetSize
   readonly streams: ResumableStreams
+  readonly records: SharedRecords
   readonly directory: RouterDirectory
   readonly logRestores: LogRestores
   readonly isStopping: () => boolean
@@ -73,10 +72,9 @@
 
 /** Starts to exchange digests; rejects if the address is in use. */
 export async function createPeers(options: PeersOptions): Promise<Peers> {
-  const { settings, state, load, cacheLocations, streams } = options
+  const { settings, state, load, cacheLocations, streams, records } = options
   const { logRestores, log, now } = options
   const { id: router } = settings.router
-  let sequence = 0
   let listedRouters: string[] | undefined
   let lastFleetOutageAtMs = now()
   const table = createPeerTable({
@@ -88,40 +86,17 @@
     routerState: state,
     cacheLocations,
     streams,
+    records,
     log,
     now,
   })
 
-  const locationUpdates = createPendingUpdates(() =>
-    cacheLocations.takeUpdates(),
-  )
-  const streamUpdates = createPendingUpdates(() => streams.takeUpdates())
+  const buildDigest = createDigestBuilder({ ...options, router })
 
   /** Returns the digests needed to reach every peer once. */
   const roundsToReachAll = (): number =>
     Math.ceil(table.livePeers(now()).length / constants.DIGEST_FANOUT)
 
-  function digest(): PeerDigest {
-    sequence += 1
-    const rounds = roundsToReachAll()
-    return {
-      router,
-      incarnation: options.incarnation,
-      sequence,
-      port: server.address.port,
-      configurationVersion: state.configurationVersion(),
-      configurationReadMs: finiteOrNull(state.configurationPollAgeMs()),
-      targetsFingerprint: state.targetsFingerprint(),
-      targetsReadMs: finiteOrNull(state.targetsPollAgeMs()),
-      targetsAgeMs: finiteOrNull(state.targetsAgeMs()),
-      stopping: options.isStopping(),
-      logRestores: logRestores.count ?? null,
-      ...encodeLoad(state.targetIds(), load.own()),
-      placed: [...locationUpdates.next(rounds)],
-      streams: encodeStreamVersions(streamUpdates.next(rounds)),
-    }
-  }
-
   /** Applies load, whose indexes are valid for one target list only. */
   function applyLoad(received: PeerDigest): void {
     if (received.targetsFingerprint !== state.targetsFingerprint()) return
@@ -140,6 +115,7 @@
     cacheLocations.merge(cacheLocationsOf(received))
     if (received.logRestores !== null) logRestores.report(received.logRestores)
     streams.merge(decodeStreamVersions(received.streams))
+    records.merge(received.records.map((item) => decodeRecord(item, now())))
     applyLoad(received)
     const peer = table.find(received.router, now())
     if (peer) fetcher.onDigest(peer)
@@ -190,7 +166,7 @@
     )
     if (due.length === 0) return
     socket.send(
-      digest(),
+      buildDigest(address.port, roundsToReachAll()),
       due.map((peer) => peer.address),
     )
   }
--- a/packages/router/src/node/peers/peerDigest.ts
+++ b/packages/router/src/node/peers/peerDigest.ts
@@ -1,5 +1,6 @@
 import { decode, encode } from '@msgpack/msgpack'
 import * as v from 'valibot'
+import { type EncodedRecord, isEncodedRecord } from './sharedRecord.js'
 import {
   isStreamsOfVersion,
   type StreamsOfVersion,
@@ -53,6 +54,15 @@
     ),
     [],
   ),
+  /** New shared records, of this router and of its peers. */
+  records: v.optional(
+    v.custom<readonly EncodedRecord[]>(
+      (value) => Array.isArray(value) && value.every(isEncodedRecord),
+    ),
+    [],
+  ),
+  /** Hash of the router's shared records; null in the digest of an earlier release. */
+  recordsFingerprint: v.optional(v.nullable(v.number()), null),
 })
 
 /** State that a router broadcasts to its peers several times per second. */
--- a/packages/router/src/node/peers/peerState.ts
+++ b/packages/router/src/node/peers/peerState.ts
@@ -5,6 +5,7 @@
 import type { CacheLocation } from '../routing/createCacheLocations.js'
 import type { ResumableStreamsState } from '../streams/createResumableStreams.js'
 import type { Target } from '../targets/target.js'
+import { type EncodedRecord, isEncodedRecord } from './sharedRecord.js'
 
 /** Largest decompressed state, in bytes; the memory of a router is a few times as large. */
 const MAX_STATE_BYTES = 16 * 1024 * 1024
@@ -74,6 +75,9 @@
   targetsAgeMs: v.nullable(v.number()),
   placements: v.exactOptional(v.array(v.tuple([v.string(), v.string()]))),
   resumableStreams: v.exactOptional(resumableStreamsSchema),
+  records: v.exactOptional(
+    v.array(v.custom<EncodedRecord>((value) => isEncodedRecord(value))),
+  ),
 })
 
 /** State that a router has already when it fetches a peer's state. */
@@ -83,6 +87,8 @@
   readonly targetsFingerprint?: number
   /** Whether the requester needs the cache locations and the resumable streams. */
   readonly wantsPlacements: boolean
+  /** Whether the requester needs the shared records. */
+  readonly wantsRecords: boolean
 }
 
 /** State that a router serves to a peer, without what the peer already has. */
@@ -94,6 +100,7 @@
   /** Latest cache location of each prompt. */
   readonly placements?: readonly CacheLocation[]
   readonly resumableStreams?: ResumableStreamsState
+  readonly records?: readonly EncodedRecord[]
 }
 
 /** Encodes a state, compressed as many routers may fetch it at once over narrow links. */
--- /dev/null
+++ b/packages/router/src/node/peers/sharedRecord.ts
@@ -0,0 +1,65 @@
+/** Kinds of facts that one router observes and that bind every router of the fleet. */
+export enum RecordKind {
+  /** A target broke off as it began to answer; key: attempt, value: target and prompt parts. */
+  TargetCrash = 'crash',
+  /** A prompt part was answered completely; key: part. */
+  PartAnswered = 'answered',
+  /** A prompt part was found harmful before the routers restarted; key: part, value: the parts that its requests have in common. */
+  HarmfulPart = 'harmful',
+}
+
+/** A fact observed by one router. */
+export interface SharedRecord {
+  /** Incarnation of the router that observed it. */
+  readonly origin: string
+  /** Increases with each record of the origin. */
+  readonly sequence: number
+  /** A {@link RecordKind}, or a kind of a later release. */
+  readonly kind: string
+  readonly key: string
+  readonly value: readonly string[]
+  /** Time of the observation on this router's monotonic clock, in milliseconds. */
+  readonly observedAtMs: number
+}
+
+/** A record as digests and state carry it. */
+export type EncodedRecord = readonly [
+  origin: string,
+  sequence: number,
+  kind: string,
+  key: string,
+  value: readonly string[],
+  ageMs: number,
+]
+
+/** Encodes a record; its age is valid at `nowMs`. */
+export function encodeRecord(
+  record: SharedRecord,
+  nowMs: number,
+): EncodedRecord {
+  const { origin, sequence, kind, key, value, observedAtMs } = record
+  return [origin, sequence, kind, key, value, Math.round(nowMs - observedAtMs)]
+}
+
+/** Decodes a record that was encoded just before `nowMs`. */
+export function decodeRecord(
+  [origin, sequence, kind, key, value, ageMs]: EncodedRecord,
+  nowMs: number,
+): SharedRecord {
+  return { origin, sequence, kind, key, value, observedAtMs: nowMs - ageMs }
+}
+
+/** Whether a decoded value is an encoded record. */
+export function isEncodedRecord(value: unknown): value is EncodedRecord {
+  if (!Array.isArray(value)) return false
+  const [origin, sequence, kind, key, strings, ageMs] = value as unknown[]
+  return (
+    typeof origin === 'string' &&
+    typeof sequence === 'number' &&
+    typeof kind === 'string' &&
+    typeof key === 'string' &&
+    Array.isArray(strings) &&
+    strings.every((item) => typeof item === 'string') &&
+    typeof ageMs === 'number'
+  )
+}
--- /dev/null
+++ b/packages/router/src/node/stopping/createGracefulStop.ts
@@ -0,0 +1,52 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { CallerServer } from '../callers/createCallerServer.js'
+import {
+  LOAD_BALANCER_DELAY_MS,
+  STOP_CHECK_MS,
+  STOP_MARGIN_MS,
+} from '../constants.js'
+import type { DecisionLog } from '../logging/decisionLog.js'
+import { LogEvent } from '../logging/logEvent.js'
+
+/** Options for {@link createGracefulStop}. */
+export interface GracefulStopOptions {
+  readonly callers: CallerServer
+  /** Returns the milliseconds until the process is killed. */
+  readonly gracePeriodMs: () => number
+  /** Called first; the load balancer and the peers must learn of the stop. */
+  readonly onStopping: () => void
+  /** Called once no request is left, or the time is over. */
+  readonly close: () => Promise<void>
+  readonly log: DecisionLog
+  /** Monotonic clock, in milliseconds. */
+  readonly now: () => number
+}
+
+/** Creates a function that stops a router; its requests end first. */
+export function createGracefulStop(
+  options: GracefulStopOptions,
+): () => Promise<void> {
+  const { callers, log, now } = options
+
+  async function waitForRequests(untilMs: number): Promise<void> {
+    while (callers.inFlight > 0 && now() < untilMs) await sleep(STOP_CHECK_MS)
+  }
+
+  async function stopOnce(): Promise<void> {
+    const startedAtMs = now()
+    log.write(LogEvent.Stopping, { inFlight: callers.inFlight })
+    callers.disableKeepAlive()
+    options.onStopping()
+    const gracePeriodMs = options.gracePeriodMs()
+    const endMs = startedAtMs + gracePeriodMs - STOP_MARGIN_MS
+    await sleep(Math.min(LOAD_BALANCER_DELAY_MS, gracePeriodMs / 2))
+    callers.stopAccepting()
+    await waitForRequests(endMs)
+    log.write(LogEvent.Stopped, { brokenOff: callers.inFlight })
+    callers.close()
+    await options.close()
+  }
+
+  let stopped: Promise<void> | undefined
+  return () => (stopped ??= stopOnce())
+}
