Take a stream without a length that ends before its first event as broken off

What callers saw: a stream with status 200 that is complete and has no event, from a target that ended as it began to answer. Cause: an answer without a length ends with its connection; the relay took every such end between events for a complete stream, the one before the first too. Evidence: unframedStreams.test "is resumed when it ends before its first event" failed; one that ends inside an event was already broken off. Change: without a length, a stream has at least one event, or it is broken off: resumed where it may be, and counted as a crash of its target. Open: an end between two events looks complete; nothing on the wire tells.

--- a/packages/http-utils/src/node/exchange.ts
+++ b/packages/http-utils/src/node/exchange.ts
@@ -7,6 +7,7 @@
 import type { Socket } from 'node:net'
 import { AttemptProgress } from '@auburnbay/core/verdict/attemptProgress'
 import { err, ok, type Result } from 'neverthrow'
+import { hasLength } from './hasLength.js'
 import { pauseBetweenReads } from './pauseBetweenReads.js'
 
 /** Timeouts of an exchange. */
@@ -50,14 +51,6 @@
   readonly message: string
 }
 
-function hasLength(res: IncomingMessage): boolean {
-  const { headers } = res
-  return (
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined
-  )
-}
-
 /** Sends a request and resolves once the response headers arrive. */
 export function exchange(
   options: ExchangeOptions,
--- a/packages/router/src/node/callers/createResponseRelay.ts
+++ b/packages/router/src/node/callers/createResponseRelay.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from 'node:http'
+import { hasLength } from '@auburnbay/http-utils/hasLength'
 import type { TargetResponse } from '../targets/createTargetClient.js'
 import type { TargetProtocol } from '../targets/targetProtocol.js'
 import type { Call } from './call.js'
@@ -87,6 +88,8 @@
     if (outcome !== RelayOutcome.Complete) return outcome
     // Without a length, a truncated body looks like a complete one.
     if (!splitter.atEventBoundary) return RelayOutcome.Broken
+    if (splitter.events === 0 && !hasLength(response.res))
+      return RelayOutcome.Broken
     res.end()
     return RelayOutcome.Complete
   }
