Send a shared record in one digest of each router that learns it

Cause: each router sent each record until all its peers had it, 60 times at 60 routers, although every peer passes it on as well. Change: one digest, to 16 peers; a peer that nobody reached fetches it. Figures, worked out: 1.6 KB a record and router at any size of the fleet, in place of 100 bytes a peer.

--- a/packages/router/src/node/peers/createDigestBuilder.ts
+++ b/packages/router/src/node/peers/createDigestBuilder.ts
@@ -26,9 +26,6 @@
   readonly now: () => number
 }
 
-/** Shared records in one digest, at about 100 bytes each; a fetch brings those that were left out. */
-const MAX_RECORDS = 100
-
 /**
  * Creates a function that returns the next digest of a router.
  * It gets the router's port for peers and the digests needed to reach every peer once.
@@ -42,10 +39,6 @@
     cacheLocations.takeUpdates(),
   )
   const streamUpdates = createPendingUpdates(() => streams.takeUpdates())
-  const recordUpdates = createPendingUpdates(
-    () => records.takeUpdates(),
-    MAX_RECORDS,
-  )
   let sequence = 0
 
   return (port, rounds) => {
@@ -65,8 +58,9 @@
       ...encodeLoad(state.targetIds(), load.own()),
       placed: [...locationUpdates.next(rounds)],
       streams: encodeStreamVersions(streamUpdates.next(rounds)),
-      records: recordUpdates
-        .next(rounds)
+      // Peers pass them on, so one digest is enough.
+      records: records
+        .takeUpdates()
         .map((record) => encodeRecord(record, now())),
       recordsFingerprint: records.fingerprint(),
     }
--- a/packages/router/src/node/peers/createPendingUpdates.ts
+++ b/packages/router/src/node/peers/createPendingUpdates.ts
@@ -7,21 +7,15 @@
 /** Updates in one digest: cache locations of 27 bytes and streams of 9 must fit into a datagram of 64 KiB. */
 const MAX_UPDATES = 1_500
 
-/**
- * Creates pending updates.
- * @param takeUpdates Returns those added since its last call.
- * @param maxUpdates Updates in one digest, the latest ones.
- * @default MAX_UPDATES
- */
+/** Creates pending updates; `takeUpdates` returns those added since its last call. */
 export function createPendingUpdates<T>(
   takeUpdates: () => T[],
-  maxUpdates = MAX_UPDATES,
 ): PendingUpdates<T> {
   let batches: T[][] = []
   return {
     next(rounds) {
       batches = [...batches, takeUpdates()].slice(-Math.max(1, rounds))
-      return batches.flat().slice(-maxUpdates)
+      return batches.flat().slice(-MAX_UPDATES)
     },
   }
 }
--- a/packages/router/src/node/peers/createSharedRecords.ts
+++ b/packages/router/src/node/peers/createSharedRecords.ts
@@ -42,7 +42,7 @@
 /** Records that are remembered, at about 300 bytes each. */
 const MAX_RECORDS = 10_000
 /** Records that are sent at a time, at about 100 bytes each. */
-const MAX_UPDATES = 25
+const MAX_UPDATES = 100
 
 function idOf({ origin, kind, key }: SharedRecord): string {
   return JSON.stringify([origin, kind, key])
