Read and log the limits that targets name

What callers saw (LIMIT): targets in need got more requests than they take. Change: the head of a response has the target's limit; target-limit logs each change of it.

--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -5,13 +5,13 @@
 import { createConfigurationActivator } from './configuration/createConfigurationActivator.js'
 import { createConfigurationStore } from './configuration/createConfigurationStore.js'
 import * as constants from './constants.js'
+import { createStatusServers } from './createStatusServers.js'
 import { createRetryBudgets } from './limits/createRetryBudgets.js'
+import { createTargetLimits } from './limits/createTargetLimits.js'
 import { retryBoundsOf } from './limits/retryBoundsOf.js'
 import type { DecisionLog } from './logging/decisionLog.js'
 import { LogEvent } from './logging/logEvent.js'
 import { createGracefulStop } from './stopping/createGracefulStop.js'
-import { createReadinessServer } from './stopping/createReadinessServer.js'
-import { createMetricsServer } from './metrics/createMetricsServer.js'
 import { createRouterMetrics } from './metrics/createRouterMetrics.js'
 import { createFleetSize } from './peers/createFleetSize.js'
 import { createIncarnation } from './peers/createIncarnation.js'
@@ -157,10 +157,14 @@
     startedAtMs: now(),
   })
 
+  const targetLimits = createTargetLimits({ log })
   const client = createTargetClient({
     protocol: ports.targetProtocol,
     connectTimeoutMs: constants.CONNECT_TIMEOUT_MS,
     keepAliveTimeoutMs: constants.KEEP_ALIVE_TIMEOUT_MS,
+    onHead: (target, head) => {
+      targetLimits.observe(target, head)
+    },
   })
   const callers = await createCallerServer({
     address: settings.listen.callers,
@@ -200,13 +204,11 @@
     now,
   })
 
-  const readiness = await createReadinessServer(
-    settings.listen.readiness,
+  const statusServers = await createStatusServers(
+    settings.listen,
+    metrics,
     isReady,
   )
-  const metricsServer = settings.listen.metrics
-    ? await createMetricsServer(settings.listen.metrics, metrics)
-    : undefined
   log.write(LogEvent.Started, {
     dataCentre: settings.router.dataCentre,
     callers: formatAddress(callers.address),
@@ -228,8 +230,7 @@
       harmfulPartGuard.stop()
       peers.current?.close()
       client.close()
-      metricsServer?.close()
-      await readiness.close()
+      await statusServers.close()
     },
     log,
     now,
--- /dev/null
+++ b/packages/router/src/node/createStatusServers.ts
@@ -0,0 +1,26 @@
+import { createMetricsServer } from './metrics/createMetricsServer.js'
+import type { RouterMetrics } from './metrics/routerMetrics.js'
+import type { RouterSettings } from './settings/settingsSchema.js'
+import { createReadinessServer } from './stopping/createReadinessServer.js'
+
+/** Servers that tell the load balancer and operators about a router. */
+export interface StatusServers {
+  close(): Promise<void>
+}
+
+/** Starts the readiness server, and the metrics server if it has an address; rejects if an address is in use. */
+export async function createStatusServers(
+  listen: RouterSettings['listen'],
+  metrics: RouterMetrics,
+  isReady: () => boolean,
+): Promise<StatusServers> {
+  const readiness = await createReadinessServer(listen.readiness, isReady)
+  const metricsServer =
+    listen.metrics && (await createMetricsServer(listen.metrics, metrics))
+  return {
+    async close() {
+      metricsServer?.close()
+      await readiness.close()
+    },
+  }
+}
--- a/packages/router/src/node/logging/logEvent.ts
+++ b/packages/router/src/node/logging/logEvent.ts
@@ -14,6 +14,7 @@
   CacheRecovered = 'cache-recovered',
   CacheUnknown = 'cache-unknown',
   TargetHealth = 'target-health',
+  TargetLimit = 'target-limit',
   SourceUnavailable = 'source-lost',
   SourceRecovered = 'source-regained',
   LogRestored = 'log-restored',
--- a/packages/router/src/node/targets/createTargetClient.ts
+++ b/packages/router/src/node/targets/createTargetClient.ts
@@ -44,6 +44,8 @@
   readonly connectTimeoutMs: number
   /** Milliseconds that an idle connection is kept open. */
   readonly keepAliveTimeoutMs: number
+  /** Called with the head of each response that belongs to its request. */
+  readonly onHead: (target: Target, head: ResponseHead) => void
 }
 
 const CAUSES: Readonly<Record<ExchangeError, TargetFailureCause>> = {
@@ -130,6 +132,7 @@
     }
     const res = result.value
     const head = protocol.decodeHead(res, call.request.attemptId)
+    if (head.isForRequest) options.onHead(target, head)
     const failure = findFailure(head)
     if (!failure) return ok({ head, res })
     if (failure.verdict === Verdict.NotRun) res.resume()
--- a/packages/router/src/node/targets/responseHead.ts
+++ b/packages/router/src/node/targets/responseHead.ts
@@ -9,4 +9,6 @@
   readonly wrongTarget: boolean
   /** Whether the response carries the target's signature. */
   readonly signed: boolean
+  /** Requests per second that the target takes from the whole fleet; absent if it names no limit. */
+  readonly requestLimitPerS?: number
 }
