Keep the requests of all routers within the limits that targets name

Cause: routers did not read the limit, and no router's requests were bounded by what the others send. Change: a limit is a shared record, the latest one counts. For each limited target, the routers that rank highest divide it, as many as may each send a request at the same moment within the bound; each has a token bucket of its share. A target whose share is used up is not selected; if every target is, the request is refused at once with the time until the next one. The router's parts from the selection of a target to the connection are composed in createCallPath.

--- /dev/null
+++ b/packages/router/src/node/callers/createCallPath.ts
@@ -0,0 +1,79 @@
+import { CONNECT_TIMEOUT_MS, KEEP_ALIVE_TIMEOUT_MS } from '../constants.js'
+import { createRetryBudgets } from '../limits/createRetryBudgets.js'
+import { createTargetLimits } from '../limits/createTargetLimits.js'
+import { retryBoundsOf } from '../limits/retryBoundsOf.js'
+import type { DecisionLog } from '../logging/decisionLog.js'
+import type { RouterMetrics } from '../metrics/routerMetrics.js'
+import type { FleetSize } from '../peers/createFleetSize.js'
+import type { SharedRecords } from '../peers/createSharedRecords.js'
+import type { HarmfulParts } from '../prompts/createHarmfulParts.js'
+import type { RoutingState } from '../routing/createRoutingState.js'
+import { createTargetSelector } from '../routing/createTargetSelector.js'
+import type { RouterSettings } from '../settings/settingsSchema.js'
+import type { ResumableStreams } from '../streams/createResumableStreams.js'
+import { createTargetClient } from '../targets/createTargetClient.js'
+import type { TargetProtocol } from '../targets/targetProtocol.js'
+import { createDispatcher, type Dispatcher } from './createDispatcher.js'
+
+/** Options for {@link createCallPath}. */
+export interface CallPathOptions {
+  /** Returns the current settings, which a reload may change. */
+  readonly settings: () => RouterSettings
+  readonly protocol: TargetProtocol
+  readonly routingState: RoutingState
+  readonly streams: ResumableStreams
+  readonly records: SharedRecords
+  readonly fleetSize: FleetSize
+  readonly harmfulParts: HarmfulParts
+  /** Whether a service's targets fetch cached prompts from each other. */
+  readonly sharesCache: (service: string) => boolean
+  /** Called when a prompt that no target cached was sent to one. */
+  readonly onNewPrompt: () => void
+  /** Returns the milliseconds until the cache locations of a starting router are complete; 0 once they are. */
+  readonly recoveryMs: () => number
+  readonly log: DecisionLog
+  readonly metrics: RouterMetrics
+  /** Monotonic clock, in milliseconds. */
+  readonly now: () => number
+}
+
+/** The path of a call to its targets. */
+export interface CallPath {
+  readonly dispatcher: Dispatcher
+  /** Closes the connections to targets. */
+  close(): void
+}
+
+/** Creates the path of calls from their admission to the targets. */
+export function createCallPath(options: CallPathOptions): CallPath {
+  const { settings, protocol, routingState, fleetSize, now } = options
+  const limits = createTargetLimits({
+    ...options,
+    router: settings().router.id,
+    routers: () => fleetSize.routers(now()),
+  })
+  const client = createTargetClient({
+    protocol,
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    keepAliveTimeoutMs: KEEP_ALIVE_TIMEOUT_MS,
+    onHead: (target, head) => {
+      limits.observe(target, head)
+    },
+  })
+  return {
+    dispatcher: createDispatcher({
+      ...options,
+      ...routingState,
+      client,
+      selector: createTargetSelector({ ...options, ...routingState, limits }),
+      retryBudgetFor: createRetryBudgets({
+        bounds: () => retryBoundsOf(settings()),
+        routerCount: () => fleetSize.count(now()),
+        startedAtMs: now(),
+      }),
+    }),
+    close() {
+      client.close()
+    },
+  }
+}
--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -31,6 +31,7 @@
   resolveFailure,
 } from './callProgress.js'
 import { createFailureHandler } from './createFailureHandler.js'
+import { createNotRunExplainer } from './createNotRunExplainer.js'
 import { createResponseRelay } from './createResponseRelay.js'
 import { loggedPartIds } from './loggedPartIds.js'
 import { createRetryCharger } from './createRetryCharger.js'
@@ -74,6 +75,7 @@
   const headerTimeout = createHeaderTimeout()
   const retryCharger = createRetryCharger(options)
   const handleFailure = createFailureHandler(options)
+  const explainNotRun = createNotRunExplainer(options)
   const { load, selector, health, stallDetector, client, log, metrics, now } =
     options
   const { harmfulParts } = options
@@ -196,11 +198,11 @@
   }
 
   function failureOf(call: Call, progress: CallProgress): RequestFailure {
-    const { harmfulPart, verdict } = progress
-    if (!harmfulPart || verdict !== Verdict.NotRun)
-      return resolveFailure(call, progress, now())
-    const retryAfterS = harmfulParts.remainingS(harmfulPart)
-    return { ...failures.harmfulPrompt, retryAfterS }
+    const failure = resolveFailure(call, progress, now())
+    const mayExplain =
+      progress.verdict === Verdict.NotRun && failure !== failures.deadlinePassed
+    if (!mayExplain) return failure
+    return explainNotRun(call, progress) ?? failure
   }
 
   async function dispatch(
--- /dev/null
+++ b/packages/router/src/node/callers/createNotRunExplainer.ts
@@ -0,0 +1,36 @@
+import type { RequestFailure } from '@auburnbay/core/verdict/requestFailure'
+import type { HarmfulParts } from '../prompts/createHarmfulParts.js'
+import type { TargetSelector } from '../routing/createTargetSelector.js'
+import type { Call } from './call.js'
+import type { CallProgress } from './callProgress.js'
+import { failures } from './failures.js'
+
+/** Options for {@link createNotRunExplainer}. */
+export interface NotRunExplainerOptions {
+  readonly harmfulParts: HarmfulParts
+  readonly selector: TargetSelector
+}
+
+/** Returns why a call that did not run was sent to no further target; undefined if neither its prompt nor limits are the reason. */
+export type NotRunExplainer = (
+  call: Call,
+  progress: CallProgress,
+) => RequestFailure | undefined
+
+const MS_PER_S = 1_000
+
+/** Creates an explainer. */
+export function createNotRunExplainer({
+  harmfulParts,
+  selector,
+}: NotRunExplainerOptions): NotRunExplainer {
+  return (call, { harmfulPart }) => {
+    if (harmfulPart) {
+      const retryAfterS = harmfulParts.remainingS(harmfulPart)
+      return { ...failures.harmfulPrompt, retryAfterS }
+    }
+    const waitMs = selector.waitMs(call)
+    if (waitMs === 0) return undefined
+    return { ...failures.targetsLimited, retryAfterS: waitMs / MS_PER_S }
+  }
+}
--- a/packages/router/src/node/callers/failures.ts
+++ b/packages/router/src/node/callers/failures.ts
@@ -65,6 +65,11 @@
     'the targets that were asked refused; try again later',
     OTHER_TARGET_RETRY_AFTER_S,
   ),
+  targetsLimited: createNotRunFailure(
+    FailureCode.Overloaded,
+    503,
+    'the targets take no more requests per second; try again later',
+  ),
   harmfulPrompt: createNotRunFailure(
     FailureCode.HarmfulPrompt,
     503,
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -1,14 +1,11 @@
 import { performance } from 'node:perf_hooks'
 import { formatAddress } from '@auburnbay/http-utils/listen'
+import { createCallPath } from './callers/createCallPath.js'
 import { createCallerServer } from './callers/createCallerServer.js'
-import { createDispatcher } from './callers/createDispatcher.js'
 import { createConfigurationActivator } from './configuration/createConfigurationActivator.js'
 import { createConfigurationStore } from './configuration/createConfigurationStore.js'
 import * as constants from './constants.js'
 import { createStatusServers } from './createStatusServers.js'
-import { createRetryBudgets } from './limits/createRetryBudgets.js'
-import { createTargetLimits } from './limits/createTargetLimits.js'
-import { retryBoundsOf } from './limits/retryBoundsOf.js'
 import type { DecisionLog } from './logging/decisionLog.js'
 import { LogEvent } from './logging/logEvent.js'
 import { createGracefulStop } from './stopping/createGracefulStop.js'
@@ -22,14 +19,12 @@
 import type { RouterPorts } from './routerPorts.js'
 import { createCacheRecovery } from './routing/createCacheRecovery.js'
 import { createRoutingState } from './routing/createRoutingState.js'
-import { createTargetSelector } from './routing/createTargetSelector.js'
 import { createLogFollowers } from './sources/createLogFollowers.js'
 import type { RouterSettings } from './settings/settingsSchema.js'
 import { createResumableStreams } from './streams/createResumableStreams.js'
 import { createStreamLifetime } from './streams/createStreamLifetime.js'
 import { isListFresh } from './streams/isListFresh.js'
 import { watchPauses } from './watchPauses.js'
-import { createTargetClient } from './targets/createTargetClient.js'
 
 /** A running router. */
 export interface Router {
@@ -56,12 +51,12 @@
   const peers: { current?: Peers } = {}
   const configurationStore = createConfigurationStore()
   const livePeerCount = (): number => peers.current?.livePeers().length ?? 0
-  const { targetList, load, stallDetector, cacheLocations, health } =
-    createRoutingState({
-      drainMs: () => settings.bounds.drainMs,
-      livePeerCount,
-      log,
-    })
+  const routingState = createRoutingState({
+    drainMs: () => settings.bounds.drainMs,
+    livePeerCount,
+    log,
+  })
+  const { targetList, load, cacheLocations } = routingState
   const fleetSize = createFleetSize(settings.router.id)
   const records = createSharedRecords({
     origin: incarnation,
@@ -151,51 +146,28 @@
     targets.invalidate()
   })
 
-  const retryBudgetFor = createRetryBudgets({
-    bounds: () => retryBoundsOf(settings),
-    routerCount: () => fleetSize.count(now()),
-    startedAtMs: now(),
-  })
-
-  const targetLimits = createTargetLimits({ log })
-  const client = createTargetClient({
+  const callPath = createCallPath({
+    settings: () => settings,
     protocol: ports.targetProtocol,
-    connectTimeoutMs: constants.CONNECT_TIMEOUT_MS,
-    keepAliveTimeoutMs: constants.KEEP_ALIVE_TIMEOUT_MS,
-    onHead: (target, head) => {
-      targetLimits.observe(target, head)
+    routingState,
+    streams,
+    records,
+    fleetSize,
+    harmfulParts: harmfulPartGuard.parts,
+    sharesCache,
+    onNewPrompt: () => {
+      peers.current?.scheduleBroadcast()
     },
+    recoveryMs: () => cacheRecovery.remainingMs(),
+    log,
+    metrics,
+    now,
   })
   const callers = await createCallerServer({
     address: settings.listen.callers,
     configurationStore,
     protocol: ports.callerProtocol,
-    dispatcher: createDispatcher({
-      load,
-      selector: createTargetSelector({
-        targetList,
-        load,
-        cacheLocations,
-        streams,
-        health,
-        stallDetector,
-        sharesCache,
-        onNewPrompt: () => {
-          peers.current?.scheduleBroadcast()
-        },
-        now,
-      }),
-      health,
-      stallDetector,
-      client,
-      protocol: ports.targetProtocol,
-      harmfulParts: harmfulPartGuard.parts,
-      retryBudgetFor,
-      recoveryMs: () => cacheRecovery.remainingMs(),
-      log,
-      metrics,
-      now,
-    }),
+    dispatcher: callPath.dispatcher,
     streams,
     log,
     metrics,
@@ -229,7 +201,7 @@
       targets.stop()
       harmfulPartGuard.stop()
       peers.current?.close()
-      client.close()
+      callPath.close()
       await statusServers.close()
     },
     log,
--- a/packages/router/src/node/peers/createFleetSize.ts
+++ b/packages/router/src/node/peers/createFleetSize.ts
@@ -8,6 +8,8 @@
   recordListed(routers: readonly string[], nowMs: number): void
   /** Returns the number of routers including this one; undefined before the directory was listed. */
   count(nowMs: number): number | undefined
+  /** Returns the ids of the routers including this one; undefined before the directory was listed. */
+  routers(nowMs: number): readonly string[] | undefined
 }
 
 /**
@@ -23,7 +25,16 @@
   const seenAtMs = new Map<string, number>()
   let isListed = false
 
+  function routers(nowMs: number): string[] | undefined {
+    if (!isListed) return undefined
+    const ids = [self]
+    for (const [router, atMs] of seenAtMs)
+      if (router !== self && nowMs - atMs <= memoryMs) ids.push(router)
+    return ids
+  }
+
   return {
+    routers,
     recordSeen(router, nowMs) {
       seenAtMs.set(router, nowMs)
     },
@@ -36,12 +47,6 @@
       for (const router of listed)
         if (!seenAtMs.has(router)) seenAtMs.set(router, nowMs)
     },
-    count(nowMs) {
-      if (!isListed) return undefined
-      let others = 0
-      for (const [router, atMs] of seenAtMs)
-        if (router !== self && nowMs - atMs <= memoryMs) others += 1
-      return others + 1
-    },
+    count: (nowMs) => routers(nowMs)?.length,
   }
 }
--- a/packages/router/src/node/peers/sharedRecord.ts
+++ b/packages/router/src/node/peers/sharedRecord.ts
@@ -6,6 +6,8 @@
   PartAnswered = 'answered',
   /** A prompt part was found harmful before the routers restarted; key: part, value: the parts that its requests have in common. */
   HarmfulPart = 'harmful',
+  /** A target named a limit on its requests per second, or none; key: target, value: limit. */
+  TargetLimit = 'limit',
 }
 
 /** A fact observed by one router. */
--- a/packages/router/src/node/prompts/createHarmfulParts.ts
+++ b/packages/router/src/node/prompts/createHarmfulParts.ts
@@ -48,6 +48,12 @@
 /** Longest id of a part that is considered, in characters. */
 const MAX_PART_LENGTH = 64
 const MS_PER_S = 1_000
+/** Kinds of records that show which parts are harmful. */
+const KINDS = [
+  RecordKind.TargetCrash,
+  RecordKind.PartAnswered,
+  RecordKind.HarmfulPart,
+]
 
 function considered(parts: readonly string[]): string[] {
   return parts
@@ -113,7 +119,7 @@
     }
   }
 
-  for (const kind of Object.values(RecordKind)) records.onChange(kind, update)
+  for (const kind of KINDS) records.onChange(kind, update)
 
   return {
     recordCrash(attemptId, crash) {
--- a/packages/router/src/node/routing/__tests__/cacheTargetLoss.test.ts
+++ b/packages/router/src/node/routing/__tests__/cacheTargetLoss.test.ts
@@ -53,6 +53,12 @@
       lifetimeMs: () => 0,
       now,
     }),
+    limits: {
+      observe: () => undefined,
+      maySend: () => true,
+      recordSent: () => undefined,
+      waitMs: () => 0,
+    },
     sharesCache: () => true,
     onNewPrompt: () => undefined,
     now,
--- a/packages/router/src/node/routing/createTargetSelector.ts
+++ b/packages/router/src/node/routing/createTargetSelector.ts
@@ -2,6 +2,7 @@
 import type { PromptPart } from '../callers/promptPart.js'
 import type { StallDetector } from '../health/createStallDetector.js'
 import type { TargetHealth } from '../health/createTargetHealth.js'
+import type { TargetLimits } from '../limits/createTargetLimits.js'
 import type { ResumableStreams } from '../streams/createResumableStreams.js'
 import type { TargetList } from '../targets/createTargetList.js'
 import type { Target } from '../targets/target.js'
@@ -21,6 +22,7 @@
   readonly streams: ResumableStreams
   readonly health: TargetHealth
   readonly stallDetector: StallDetector
+  readonly limits: TargetLimits
   /** Whether a service's targets fetch cached prompts from each other. */
   readonly sharesCache: (service: string) => boolean
   /** Called when a prompt that no target cached was sent to one. */
@@ -43,6 +45,8 @@
   select(call: Call, constraints: TargetConstraints): Placement | undefined
   /** Whether the prompt of a call needs no cache location or has a known one. */
   isLocated(call: Call): boolean
+  /** Returns the milliseconds until a target takes a call within its limit; 0 if one does or there is none. */
+  waitMs(call: Call): number
   /** Records that a call is sent to a target. */
   recordSent(call: Call, target: Target): void
   /** Records that the target of a placement did not run the call. */
@@ -68,7 +72,7 @@
   options: TargetSelectorOptions,
 ): TargetSelector {
   const { targetList, load, cacheLocations, health, stallDetector } = options
-  const { sharesCache, now } = options
+  const { limits, sharesCache, now } = options
 
   /** Returns a cache target to fetch the prompt from; one that has crashed would only delay the request. */
   function findSource(
@@ -97,6 +101,7 @@
       const ready = targetList.ready(service, nowMs)
       const isAllowed = (target: Target): boolean =>
         !tried.has(target.id) &&
+        limits.maySend(target.id) &&
         (softwareVersion ?? target.softwareVersion) === target.softwareVersion
       const allowed = ready.filter(isAllowed)
       const available = health
@@ -136,7 +141,12 @@
       const key = keyOf(call)
       return key === undefined || cacheLocations.cachedOn(key).length > 0
     },
+    waitMs({ service }) {
+      const ready = targetList.ready(service, now())
+      return ready.length === 0 ? 0 : limits.waitMs(ready)
+    },
     recordSent(call, target) {
+      limits.recordSent(target.id)
       options.streams.recordSent(call, target)
       const key = keyOf(call)
       if (key === undefined) return
