Count each target that one request crashes

Cause: the record of a crash had the attempt as its key, so that the crash of a second target under the same request replaced the first one. Evidence: the test "are found when one request has crashed all three targets" fails without the change. Change: the key names the target too.

--- a/packages/router/src/node/peers/sharedRecord.ts
+++ b/packages/router/src/node/peers/sharedRecord.ts
@@ -1,6 +1,6 @@
 /** Kinds of facts that one router observes and that bind every router of the fleet. */
 export enum RecordKind {
-  /** A target broke off as it began to answer; key: attempt, value: target and prompt parts. */
+  /** A target broke off as it began to answer; key: attempt and target, value: target, milliseconds since the send, prompt parts. */
   TargetCrash = 'crash',
   /** A prompt part was answered completely; key: part. */
   PartAnswered = 'answered',
--- a/packages/router/src/node/prompts/__tests__/createHarmfulParts.test.ts
+++ b/packages/router/src/node/prompts/__tests__/createHarmfulParts.test.ts
@@ -47,10 +47,14 @@
   let attempts = 0
   const now = (): number => nowMs
 
-  function crash({ parts }: TestRouter, ids: readonly string[]): void {
+  function crash(
+    { parts }: TestRouter,
+    ids: readonly string[],
+    attempt?: string,
+  ): void {
     attempts += 1
     nowMs += 1_000
-    parts.recordCrash(`attempt-${attempts}`, {
+    parts.recordCrash(attempt ?? `attempt-${attempts}`, {
       targetId: `i-${attempts}`,
       sentAtMs: nowMs - 500,
       crashedAtMs: nowMs,
@@ -83,6 +87,13 @@
     assert.equal(router.parts.find(['d', 'bad'])?.part, 'bad')
   })
 
+  it('are found when one request has crashed all three targets', () => {
+    const [router] = startRouters(1, now)
+    assert.ok(router)
+    for (let i = 0; i < 3; i += 1) crash(router, ['bad'], 'attempt')
+    assert.equal(router.parts.find(['bad'])?.part, 'bad')
+  })
+
   it('are forgotten after their lifetime', () => {
     const [router] = startRouters(1, now)
     assert.ok(router)
