Bound the bytes of shared records in a digest

Cause: up to 100 records of up to 2 KB each do not fit into a datagram of 64 KiB; it would not be sent, and the load that it carries would be lost with it. Evidence: the test "leave in several digests when they do not fit into a datagram" fails with the limit of 100 records. Change: at most 8 KiB of records in a digest; the rest leave with the next ones.

--- a/packages/router/src/node/peers/__tests__/createSharedRecords.test.ts
+++ b/packages/router/src/node/peers/__tests__/createSharedRecords.test.ts
@@ -5,7 +5,7 @@
   createSharedRecords,
   type SharedRecords,
 } from '../createSharedRecords.js'
-import { RecordKind } from '../sharedRecord.js'
+import { encodeRecord, RecordKind } from '../sharedRecord.js'
 
 const LIFETIME_MS = 1_000
 
@@ -48,6 +48,22 @@
     assert.equal(b.fingerprint(), a.fingerprint())
   })
 
+  it('leave in several digests when they do not fit into a datagram', () => {
+    const records = startRecords('a', () => 0)
+    const value = Array.from({ length: 32 }, () => 'x'.repeat(64))
+    const count = 100
+    for (let i = 0; i < count; i += 1)
+      records.publish(RecordKind.TargetCrash, `k${i}`, value, 0)
+    let sent = 0
+    for (let digest = 0; sent < count && digest < count; digest += 1) {
+      const updates = records.takeUpdates()
+      const encoded = updates.map((record) => encodeRecord(record, 0))
+      assert.ok(JSON.stringify(encoded).length < 16 * 1024)
+      sent += updates.length
+    }
+    assert.equal(sent, count)
+  })
+
   it('are forgotten after their lifetime', () => {
     let nowMs = 0
     const records = startRecords('a', () => nowMs)
--- a/packages/router/src/node/peers/createSharedRecords.ts
+++ b/packages/router/src/node/peers/createSharedRecords.ts
@@ -41,13 +41,21 @@
 
 /** Records that are remembered, at about 300 bytes each. */
 const MAX_RECORDS = 10_000
-/** Records that are sent at a time, at about 100 bytes each. */
-const MAX_UPDATES = 100
+/** Size of the records that are sent at a time, in bytes; they share a datagram of 64 KiB with other updates. */
+const MAX_UPDATE_BYTES = 8 * 1024
+/** Bytes of a record beside its key and value. */
+const RECORD_OVERHEAD_BYTES = 40
 
 function idOf({ origin, kind, key }: SharedRecord): string {
   return JSON.stringify([origin, kind, key])
 }
 
+function bytesOf({ key, value }: SharedRecord): number {
+  let bytes = RECORD_OVERHEAD_BYTES + key.length
+  for (const text of value) bytes += text.length + 1
+  return bytes
+}
+
 /** Creates an empty set of records. */
 export function createSharedRecords(
   options: SharedRecordsOptions,
@@ -121,8 +129,10 @@
     },
     takeUpdates() {
       const updates: SharedRecord[] = []
+      let bytes = 0
       for (const [id, record] of unsent) {
-        if (updates.length === MAX_UPDATES) break
+        bytes += bytesOf(record)
+        if (bytes > MAX_UPDATE_BYTES && updates.length > 0) break
         unsent.delete(id)
         updates.push(record)
       }
