Count the crashes of a target that starts again under its id

What callers saw: nothing yet; targets that restart under their ids would crash again and again, as a part had to crash three different ids. Cause: a target was told apart by its id only, which it may keep. Change: the target list has the time of a target's start; a crash names the id and that time.

--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -18,6 +18,7 @@
   TargetClient,
 } from '../targets/createTargetClient.js'
 import type { Target } from '../targets/target.js'
+import { targetIncarnation } from '../targets/targetIncarnation.js'
 import { TargetFailureCause } from '../targets/targetFailure.js'
 import type { TargetProtocol } from '../targets/targetProtocol.js'
 import type { Call } from './call.js'
@@ -134,7 +135,7 @@
     if (relayOutcome !== RelayOutcome.Broken) return NextStep.Done
     if (isAccepted && progress.relay.endedAtStart)
       harmfulParts.recordCrash(call.request.attemptId, {
-        targetId: target.id,
+        target: targetIncarnation(target),
         sentAtMs: progress.sentAtMs,
         crashedAtMs: now(),
         parts,
--- a/packages/router/src/node/peers/peerState.ts
+++ b/packages/router/src/node/peers/peerState.ts
@@ -52,6 +52,7 @@
 
 const targetSchema = v.object({
   id: v.string(),
+  startedAtMs: v.exactOptional(v.number()),
   service: v.string(),
   host: v.string(),
   port: v.number(),
--- a/packages/router/src/node/prompts/__tests__/createHarmfulParts.test.ts
+++ b/packages/router/src/node/prompts/__tests__/createHarmfulParts.test.ts
@@ -55,7 +55,7 @@
     attempts += 1
     nowMs += 1_000
     parts.recordCrash(attempt ?? `attempt-${attempts}`, {
-      targetId: `i-${attempts}`,
+      target: `i-${attempts}`,
       sentAtMs: nowMs - 500,
       crashedAtMs: nowMs,
       parts: ids,
--- a/packages/router/src/node/prompts/__tests__/findSuspectParts.test.ts
+++ b/packages/router/src/node/prompts/__tests__/findSuspectParts.test.ts
@@ -4,12 +4,12 @@
 import type { TargetCrash } from '../targetCrash.js'
 
 function crash(
-  targetId: string,
+  target: string,
   crashedAtMs: number,
   parts: readonly string[],
   sentAtMs = crashedAtMs - 100,
 ): TargetCrash {
-  return { targetId, sentAtMs, crashedAtMs, parts }
+  return { target, sentAtMs, crashedAtMs, parts }
 }
 
 const NEVER_ANSWERED = (): number => -Infinity
--- a/packages/router/src/node/prompts/createHarmfulParts.ts
+++ b/packages/router/src/node/prompts/createHarmfulParts.ts
@@ -131,7 +131,7 @@
       for (const part of parts) crashedHere.set(part, true)
       records.publish(
         RecordKind.TargetCrash,
-        `${attemptId}/${crash.targetId}`,
+        `${attemptId}/${crash.target}`,
         encodeCrash({ ...crash, parts }),
         crash.crashedAtMs,
       )
--- a/packages/router/src/node/prompts/findSuspectParts.ts
+++ b/packages/router/src/node/prompts/findSuspectParts.ts
@@ -22,13 +22,13 @@
   const suspects = new Map<string, SuspectPart>()
   const crashedTargets = new Map<string, Set<string>>()
   const inOrder = crashes.toSorted((a, b) => a.crashedAtMs - b.crashedAtMs)
-  for (const { targetId, sentAtMs, crashedAtMs, parts } of inOrder) {
+  for (const { target, sentAtMs, crashedAtMs, parts } of inOrder) {
     for (const part of parts) {
       if (crashedAtMs <= answeredAtMs(part)) continue
       const suspect = suspects.get(part)
       const targets = crashedTargets.get(part)
       if (!suspect || !targets) {
-        crashedTargets.set(part, new Set([targetId]))
+        crashedTargets.set(part, new Set([target]))
         suspects.set(part, {
           crashes: 1,
           common: parts,
@@ -38,8 +38,8 @@
         continue
       }
       suspect.common = suspect.common.filter((other) => parts.includes(other))
-      if (targets.has(targetId) || sentAtMs < suspect.lastCrashAtMs) continue
-      targets.add(targetId)
+      if (targets.has(target) || sentAtMs < suspect.lastCrashAtMs) continue
+      targets.add(target)
       suspect.crashes += 1
       suspect.lastCrashAtMs = crashedAtMs
     }
--- a/packages/router/src/node/prompts/targetCrash.ts
+++ b/packages/router/src/node/prompts/targetCrash.ts
@@ -2,7 +2,8 @@
 
 /** A target that broke off as it began to answer a request. */
 export interface TargetCrash {
-  readonly targetId: string
+  /** Incarnation of the target. */
+  readonly target: string
   /** Times on the monotonic clock, in milliseconds. */
   readonly sentAtMs: number
   readonly crashedAtMs: number
@@ -12,8 +13,8 @@
 
 /** Returns the value of a crash's shared record. */
 export function encodeCrash(crash: TargetCrash): string[] {
-  const { targetId, sentAtMs, crashedAtMs, parts } = crash
-  return [targetId, String(Math.round(crashedAtMs - sentAtMs)), ...parts]
+  const { target, sentAtMs, crashedAtMs, parts } = crash
+  return [target, String(Math.round(crashedAtMs - sentAtMs)), ...parts]
 }
 
 /** Returns the crash of a shared record. */
@@ -21,7 +22,7 @@
   value,
   observedAtMs,
 }: Pick<SharedRecord, 'value' | 'observedAtMs'>): TargetCrash {
-  const [targetId = '', runMs = '0', ...parts] = value
+  const [target = '', runMs = '0', ...parts] = value
   const sentAtMs = observedAtMs - Number(runMs)
-  return { targetId, sentAtMs, crashedAtMs: observedAtMs, parts }
+  return { target, sentAtMs, crashedAtMs: observedAtMs, parts }
 }
--- a/packages/router/src/node/targets/createTargetList.ts
+++ b/packages/router/src/node/targets/createTargetList.ts
@@ -2,6 +2,7 @@
 import { hash32 } from '@auburnbay/core/hash/hash32'
 import { LRUCache } from 'lru-cache'
 import type { Target } from './target.js'
+import { targetIncarnation } from './targetIncarnation.js'
 
 /** Removed targets that are remembered. */
 const MAX_LEAVING = 100
@@ -9,8 +10,11 @@
 function fingerprintOf(targets: Iterable<Target>): number {
   const lines: string[] = []
   for (const target of targets) {
-    const { id, service, host, port, softwareVersion, draining } = target
-    lines.push([id, service, host, port, softwareVersion, draining].join(' '))
+    const { service, host, port, softwareVersion, draining } = target
+    const incarnation = targetIncarnation(target)
+    lines.push(
+      [incarnation, service, host, port, softwareVersion, draining].join(' '),
+    )
   }
   return hash32(lines.sort().join('\n'))
 }
--- a/packages/router/src/node/targets/target.ts
+++ b/packages/router/src/node/targets/target.ts
@@ -1,7 +1,9 @@
 /** One running instance of a service. */
 export interface Target {
-  /** Identifies this incarnation; a restart gets a new id. */
+  /** Identifies this target; after a restart it may have the same id. */
   readonly id: string
+  /** Time of day of its start, in milliseconds since the epoch; absent if unknown. */
+  readonly startedAtMs?: number
   readonly service: string
   readonly host: string
   readonly port: number
