Let only a successful response clear a prompt part

Cause: a response with a 4xx status from a target counted as an answer on the parts of its prompt, although the target had not begun to write one. Change: only a complete response below 300 clears parts, only one that breaks off counts as a crash.

--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -45,6 +45,7 @@
 
 /** Maximum number of sends of one request, including refused and undelivered ones. */
 const MAX_SENDS = 4
+const MIN_FAILURE_STATUS = 300
 const MIN_SERVER_ERROR_STATUS = 500
 const MS_PER_S = 1_000
 
@@ -114,6 +115,7 @@
     progress.possibleRuns += 1
     progress.verdict = Verdict.Ran
     const isError = status >= MIN_SERVER_ERROR_STATUS
+    const isSuccess = status < MIN_FAILURE_STATUS
     const outcome = isError ? TargetOutcome.Failure : TargetOutcome.Success
     health.recordOutcome(target, outcome, now())
     if (
@@ -130,10 +132,10 @@
         })
       : RelayOutcome.Broken
     const parts = sharedPartIds(call.request.promptParts)
-    if (relayOutcome === RelayOutcome.Complete && !isError)
+    if (relayOutcome === RelayOutcome.Complete && isSuccess)
       harmfulParts.recordAnswered(parts)
     if (relayOutcome !== RelayOutcome.Broken) return NextStep.Done
-    if (isAccepted && progress.relay.endedAtStart)
+    if (isAccepted && isSuccess && progress.relay.endedAtStart)
       harmfulParts.recordCrash(call.request.attemptId, {
         target: targetIncarnation(target),
         sentAtMs: progress.sentAtMs,
