Measure the cost of patches in processor time, as its bound is a share of a core

Cause: state.patch-cost compared elapsed time with a bound on processor time, so that it failed when processes waited for a core. Change: the processor time of all threads; the bound stays, and collections of garbage on other threads count now.

--- a/packages/measure/src/node/state/measurePatchCost.ts
+++ b/packages/measure/src/node/state/measurePatchCost.ts
@@ -1,4 +1,4 @@
-import { performance } from 'node:perf_hooks'
+import process from 'node:process'
 import {
   type Configuration,
   configurationSchema,
@@ -11,6 +11,7 @@
 const TARGETS = 10_000
 const CHANGES_PER_DAY = 47_000
 const DAY_MS = 86_400_000
+const US_PER_MS = 1_000
 /** Share of a core that a node may spend on control work. */
 const MAX_CORE_SHARE = 0.011
 const INCREMENTAL_RUNS = 200
@@ -30,20 +31,21 @@
   return configurationSchema.parse({ customers, targets })
 }
 
-/** Returns the mean duration of a patch, in milliseconds. */
+/** Returns the mean processor time of a patch over all threads, in milliseconds. */
 function timePatches(
   patch: typeof patchConfiguration,
   configuration: Configuration,
   runs: number,
 ): number {
   let current = configuration
-  const start = performance.now()
+  const start = process.cpuUsage()
   for (let run = 0; run < runs; run += 1) {
     const path = `/targets/engine-${run * 37}/weight`
     const operations = [{ op: 'replace', path, value: 2 + run }]
     current = patch(current, operations).unwrapOr(current)
   }
-  return (performance.now() - start) / runs
+  const { user, system } = process.cpuUsage(start)
+  return (user + system) / US_PER_MS / runs
 }
 
 /** Measures the share of a core that applying a day's changes takes. */
