Rank the routers of a limited target with core's rendezvousOrder

Cause: findLimitUsers hashed, sorted and cut the routers itself, as rendezvousOrder does for targets and for assignedTargets. Change: it calls rendezvousOrder with the target as the key. Which routers divide a limit may differ from before; how many, and that all routers agree, does not. Evidence: the limits' tests and targetLimits.test, 15 passed, none changed.

--- a/packages/router/src/node/limits/findLimitUsers.ts
+++ b/packages/router/src/node/limits/findLimitUsers.ts
@@ -1,4 +1,4 @@
-import { hash32 } from '@auburnbay/core/hash/hash32'
+import { rendezvousOrder } from '@auburnbay/core/routing/rendezvousOrder'
 
 /** Returns the `max` routers that rank highest for a target, the same ones at every router. */
 export function findLimitUsers(
@@ -7,9 +7,8 @@
   max: number,
 ): readonly string[] {
   if (routers.length <= max) return routers
-  return routers
-    .map((router) => ({ router, rank: hash32(`${targetId} ${router}`) }))
-    .sort((a, b) => b.rank - a.rank)
+  const candidates = routers.map((id) => ({ id, weight: 1 }))
+  return rendezvousOrder(targetId, candidates)
     .slice(0, max)
-    .map(({ router }) => router)
+    .map(({ id }) => id)
 }
