--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -1,53 +1,37 @@
 import type { ServerResponse } from 'node:http'
-import { TargetOutcome } from '@auburnbay/core/health/targetOutcome'
 import type { RequestFailure } from '@auburnbay/core/verdict/requestFailure'
 import { Verdict } from '@auburnbay/core/verdict/verdict'
 import type { StallDetector } from '../health/createStallDetector.js'
 import type { TargetHealth } from '../health/createTargetHealth.js'
-import { createHeaderTimeout } from '../limits/createHeaderTimeout.js'
 import type { RetryBudget } from '../limits/createRetryBudget.js'
 import type { DecisionLog } from '../logging/decisionLog.js'
-import { LogEvent } from '../logging/logEvent.js'
 import type { RouterMetrics } from '../metrics/routerMetrics.js'
 import type { HarmfulParts } from '../prompts/createHarmfulParts.js'
 import type { FleetLoad } from '../routing/createFleetLoad.js'
 import type { TargetSelector } from '../routing/createTargetSelector.js'
-import type { Placement } from '../routing/placement.js'
-import type {
-  TargetResponse,
-  TargetClient,
-} from '../targets/createTargetClient.js'
-import type { Target } from '../targets/target.js'
-import { targetIncarnation } from '../targets/targetIncarnation.js'
-import { TargetFailureCause } from '../targets/targetFailure.js'
+import type { TargetClient } from '../targets/createTargetClient.js'
 import type { TargetProtocol } from '../targets/targetProtocol.js'
 import type { Call } from './call.js'
-import type { DispatchOutcome } from './dispatchOutcome.js'
 import {
   type CallProgress,
-  canRetry,
-  canRetryAfterTimeout,
   createCallProgress,
   MIN_REMAINING_MS,
   resolveFailure,
 } from './callProgress.js'
 import { createFailureHandler } from './createFailureHandler.js'
 import { createNotRunExplainer } from './createNotRunExplainer.js'
+import { createResponseHandler } from './createResponseHandler.js'
 import { createResponseRelay } from './createResponseRelay.js'
-import { loggedPartIds } from './loggedPartIds.js'
 import { createRetryCharger } from './createRetryCharger.js'
-import { NextStep } from './nextStep.js'
+import { createTargetSender } from './createTargetSender.js'
+import type { DispatchOutcome } from './dispatchOutcome.js'
 import { failures } from './failures.js'
-import { RelayOutcome } from './relayOutcome.js'
+import { NextStep } from './nextStep.js'
 import { sharedPartIds } from './sharedPartIds.js'
-import { targetSendOf } from './targetSendOf.js'
 import { waitForCacheLocation } from './waitForCacheLocation.js'
 
 /** Maximum number of sends of one request, including refused and undelivered ones. */
 const MAX_SENDS = 4
-const MIN_FAILURE_STATUS = 300
-const MIN_SERVER_ERROR_STATUS = 500
-const MS_PER_S = 1_000
 
 /** Options for {@link createDispatcher}. */
 export interface DispatcherOptions {
@@ -74,131 +58,14 @@
 
 /** Creates a dispatcher. */
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
-  const headerTimeout = createHeaderTimeout()
+  const { selector, harmfulParts, now } = options
   const retryCharger = createRetryCharger(options)
-  const handleFailure = createFailureHandler(options)
+  const sendTo = createTargetSender({
+    ...options,
+    handleFailure: createFailureHandler(options),
+    handleResponse: createResponseHandler({ ...options, retryCharger }),
+  })
   const explainNotRun = createNotRunExplainer(options)
-  const { load, selector, health, stallDetector, client, log, metrics, now } =
-    options
-  const { harmfulParts } = options
-
-  function headerTimeoutMs(
-    call: Call,
-    progress: CallProgress,
-    sentAtMs: number,
-  ): number {
-    const remainingMs = call.deadlineAtMs - sentAtMs
-    if (!canRetryAfterTimeout(call, progress)) return remainingMs
-    const { name, targetLatencyMs } = call.route
-    return Math.min(remainingMs, headerTimeout.timeoutMs(name, targetLatencyMs))
-  }
-
-  // A server error of the target is forwarded unless the call can be retried elsewhere.
-  function shouldRetryServerError(
-    call: Call,
-    progress: CallProgress,
-    { head }: TargetResponse,
-  ): boolean {
-    if (head.status < MIN_SERVER_ERROR_STATUS || progress.relay.headersSent)
-      return false
-    if (!canRetry(call, progress)) return false
-    return selector.select(call, progress) !== undefined
-  }
-
-  async function handleResponse(
-    call: Call,
-    target: Target,
-    progress: CallProgress,
-    response: TargetResponse,
-  ): Promise<NextStep> {
-    const { status } = response.head
-    progress.possibleRuns += 1
-    progress.verdict = Verdict.Ran
-    const isError = status >= MIN_SERVER_ERROR_STATUS
-    const isSuccess = status < MIN_FAILURE_STATUS
-    const outcome = isError ? TargetOutcome.Failure : TargetOutcome.Success
-    health.recordOutcome(target, outcome, now())
-    if (
-      shouldRetryServerError(call, progress, response) &&
-      retryCharger.tryCharge(call, progress.sends, `status-${status}`)
-    ) {
-      response.res.resume()
-      return NextStep.RetryCharged
-    }
-    const isAccepted = progress.relay.accepts(response)
-    const relayOutcome = isAccepted
-      ? await progress.relay.forward(response, () => {
-          stallDetector.recordActivity(target.id, now())
-        })
-      : RelayOutcome.Broken
-    const parts = sharedPartIds(call.request.promptParts)
-    if (relayOutcome === RelayOutcome.Complete && isSuccess)
-      harmfulParts.recordAnswered(parts)
-    if (relayOutcome !== RelayOutcome.Broken) return NextStep.Done
-    if (isAccepted && isSuccess && progress.relay.endedAtStart)
-      harmfulParts.recordCrash(call.request.attemptId, {
-        target: targetIncarnation(target),
-        sentAtMs: progress.sentAtMs,
-        crashedAtMs: now(),
-        parts,
-      })
-    if (progress.relay.lastEventId !== undefined)
-      progress.softwareVersion ??= target.softwareVersion
-    response.res.destroy()
-    health.recordOutcome(target, TargetOutcome.Failure, now())
-    progress.lastCause = TargetFailureCause.Broken
-    log.write(LogEvent.RequestSent, {
-      request: call.request.attemptId,
-      target: target.id,
-      targetVersion: target.softwareVersion,
-      send: progress.sends,
-      cause: TargetFailureCause.Broken,
-      reason: 'truncated response',
-      lastEvent: progress.relay.lastEventId,
-      parts: loggedPartIds(call.request.promptParts),
-    })
-    return canRetry(call, progress) ? NextStep.Retry : NextStep.Done
-  }
-
-  async function sendTo(
-    call: Call,
-    placement: Placement,
-    progress: CallProgress,
-  ): Promise<NextStep> {
-    const { target, prefillTokens } = placement
-    progress.placement = placement
-    progress.tried.add(target.id)
-    progress.sends += 1
-    const sentAtMs = now()
-    progress.sentAtMs = sentAtMs
-    load.recordStart(target.id, prefillTokens)
-    metrics.recordPlacement(call.service, placement.reason, prefillTokens)
-    selector.recordSent(call, target)
-    stallDetector.recordSent(target.id, sentAtMs)
-    try {
-      const result = await client.send(
-        targetSendOf(call, placement, {
-          sentAtMs,
-          headerTimeoutMs: headerTimeoutMs(call, progress, sentAtMs),
-          lastEventId: progress.relay.lastEventId,
-        }),
-      )
-      load.releasePromptTokens(target.id, prefillTokens)
-      if (result.isErr()) {
-        if (result.error.verdict === Verdict.NotRun)
-          selector.recordNotRun(call, placement, result.error.cause)
-        return handleFailure(call, target, progress, result.error)
-      }
-      const headMs = now() - sentAtMs
-      headerTimeout.recordHeaderTime(call.route.name, headMs)
-      metrics.recordResponseHead(call.service, headMs / MS_PER_S)
-      stallDetector.recordActivity(target.id, now())
-      return await handleResponse(call, target, progress, result.value)
-    } finally {
-      load.recordEnd(target.id)
-      stallDetector.recordEnd(target.id)
-    }
-  }
 
   function failureOf(call: Call, progress: CallProgress): RequestFailure {
     const failure = resolveFailure(call, progress, now())
