--- a/packages/router/src/node/callers/createFailureHandler.ts
+++ b/packages/router/src/node/callers/createFailureHandler.ts
@@ -15,6 +15,7 @@
 import { type CallProgress, canRetry } from './callProgress.js'
 import { loggedPartIds } from './loggedPartIds.js'
 import { NextStep } from './nextStep.js'
+import { requestFingerprint } from './requestFingerprint.js'
 
 /** Options for {@link createFailureHandler}. */
 export interface FailureHandlerOptions {
@@ -56,6 +57,7 @@
       verdict: failure.verdict,
       cause: failure.cause,
       reason: failure.message,
+      fingerprint: requestFingerprint(call),
       parts: loggedPartIds(call.request.promptParts),
     })
     if (failure.cause === TargetFailureCause.Aborted) return NextStep.Done
--- a/packages/router/src/node/callers/createResponseHandler.ts
+++ b/packages/router/src/node/callers/createResponseHandler.ts
@@ -16,6 +16,7 @@
 import { loggedPartIds } from './loggedPartIds.js'
 import { NextStep } from './nextStep.js'
 import { RelayOutcome } from './relayOutcome.js'
+import { requestFingerprint } from './requestFingerprint.js'
 import { sharedPartIds } from './sharedPartIds.js'
 
 const MIN_FAILURE_STATUS = 300
@@ -91,6 +92,7 @@
       cause: TargetFailureCause.Broken,
       reason: 'truncated response',
       lastEvent: lastEventId,
+      fingerprint: requestFingerprint(call),
       parts: loggedPartIds(call.request.promptParts),
     })
     return canRetry(call, progress) ? NextStep.Retry : NextStep.Done
