Call what crashed requests have in common a trait, not a part

No behaviour changes. Names that leave the process stay: the events part-blocked and part-allowed, the kinds of records and the log's topic.

--- a/packages/router/src/node/callers/callProgress.ts
+++ b/packages/router/src/node/callers/callProgress.ts
@@ -1,7 +1,7 @@
 import type { RequestFailure } from '@auburnbay/core/verdict/requestFailure'
 import { Verdict } from '@auburnbay/core/verdict/verdict'
 import { RequestKind } from '../configuration/requestKind.js'
-import type { HarmfulPart } from '../prompts/harmfulPart.js'
+import type { HarmfulTrait } from '../crashes/harmfulTrait.js'
 import type { Placement } from '../routing/placement.js'
 import { isResumable } from '../streams/isResumable.js'
 import { TargetFailureCause } from '../targets/targetFailure.js'
@@ -29,7 +29,7 @@
   /** Placement of the last send. */
   placement?: Placement
   /** Prompt part for which the call is not sent to a target, or not to a further one. */
-  harmfulPart?: HarmfulPart | undefined
+  harmfulTrait?: HarmfulTrait | undefined
 }
 
 /** Creates the progress of a call that has not been sent yet. */
--- a/packages/router/src/node/callers/createCallPath.ts
+++ b/packages/router/src/node/callers/createCallPath.ts
@@ -6,7 +6,7 @@
 import type { RouterMetrics } from '../metrics/routerMetrics.js'
 import type { FleetSize } from '../peers/createFleetSize.js'
 import type { SharedRecords } from '../peers/createSharedRecords.js'
-import type { HarmfulParts } from '../prompts/createHarmfulParts.js'
+import type { HarmfulTraits } from '../crashes/createHarmfulTraits.js'
 import type { RoutingState } from '../routing/createRoutingState.js'
 import { createTargetSelector } from '../routing/createTargetSelector.js'
 import type { RouterSettings } from '../settings/settingsSchema.js'
@@ -24,7 +24,7 @@
   readonly streams: ResumableStreams
   readonly records: SharedRecords
   readonly fleetSize: FleetSize
-  readonly harmfulParts: HarmfulParts
+  readonly harmfulTraits: HarmfulTraits
   /** Whether a service's targets fetch cached prompts from each other. */
   readonly sharesCache: (service: string) => boolean
   /** Called when a prompt that no target cached was sent to one. */
--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -6,7 +6,7 @@
 import type { RetryBudget } from '../limits/createRetryBudget.js'
 import type { DecisionLog } from '../logging/decisionLog.js'
 import type { RouterMetrics } from '../metrics/routerMetrics.js'
-import type { HarmfulParts } from '../prompts/createHarmfulParts.js'
+import type { HarmfulTraits } from '../crashes/createHarmfulTraits.js'
 import type { FleetLoad } from '../routing/createFleetLoad.js'
 import type { TargetSelector } from '../routing/createTargetSelector.js'
 import type { TargetClient } from '../targets/createTargetClient.js'
@@ -41,7 +41,7 @@
   readonly stallDetector: StallDetector
   readonly client: TargetClient
   readonly protocol: TargetProtocol
-  readonly harmfulParts: HarmfulParts
+  readonly harmfulTraits: HarmfulTraits
   readonly retryBudgetFor: (service: string) => RetryBudget
   /** Returns the milliseconds until the cache locations of a starting router are complete; 0 once they are. */
   readonly recoveryMs: () => number
@@ -58,7 +58,7 @@
 
 /** Creates a dispatcher. */
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
-  const { selector, harmfulParts, now } = options
+  const { selector, harmfulTraits, now } = options
   const retryCharger = createRetryCharger(options)
   const sendTo = createTargetSender({
     ...options,
@@ -90,8 +90,8 @@
     const parts = sharedPartIds(call.request.promptParts)
     while (progress.sends < MAX_SENDS && !call.signal.aborted) {
       if (call.deadlineAtMs - now() < MIN_REMAINING_MS) break
-      progress.harmfulPart = harmfulParts.find(parts)
-      if (progress.harmfulPart) break
+      progress.harmfulTrait = harmfulTraits.find(parts)
+      if (progress.harmfulTrait) break
       const placement = selector.select(call, progress)
       if (!placement) break
       const next = await sendTo(call, placement, progress)
--- a/packages/router/src/node/callers/createNotRunExplainer.ts
+++ b/packages/router/src/node/callers/createNotRunExplainer.ts
@@ -1,5 +1,5 @@
 import type { RequestFailure } from '@auburnbay/core/verdict/requestFailure'
-import type { HarmfulParts } from '../prompts/createHarmfulParts.js'
+import type { HarmfulTraits } from '../crashes/createHarmfulTraits.js'
 import type { TargetSelector } from '../routing/createTargetSelector.js'
 import type { Call } from './call.js'
 import type { CallProgress } from './callProgress.js'
@@ -7,7 +7,7 @@
 
 /** Options for {@link createNotRunExplainer}. */
 export interface NotRunExplainerOptions {
-  readonly harmfulParts: HarmfulParts
+  readonly harmfulTraits: HarmfulTraits
   readonly selector: TargetSelector
 }
 
@@ -21,12 +21,12 @@
 
 /** Creates an explainer. */
 export function createNotRunExplainer({
-  harmfulParts,
+  harmfulTraits,
   selector,
 }: NotRunExplainerOptions): NotRunExplainer {
-  return (call, { harmfulPart }) => {
-    if (harmfulPart) {
-      const retryAfterS = harmfulParts.remainingS(harmfulPart)
+  return (call, { harmfulTrait }) => {
+    if (harmfulTrait) {
+      const retryAfterS = harmfulTraits.remainingS(harmfulTrait)
       return { ...failures.harmfulPrompt, retryAfterS }
     }
     const waitMs = selector.waitMs(call)
--- a/packages/router/src/node/callers/createResponseHandler.ts
+++ b/packages/router/src/node/callers/createResponseHandler.ts
@@ -4,7 +4,7 @@
 import type { TargetHealth } from '../health/createTargetHealth.js'
 import type { DecisionLog } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
-import type { HarmfulParts } from '../prompts/createHarmfulParts.js'
+import type { HarmfulTraits } from '../crashes/createHarmfulTraits.js'
 import type { TargetSelector } from '../routing/createTargetSelector.js'
 import type { TargetResponse } from '../targets/createTargetClient.js'
 import type { Target } from '../targets/target.js'
@@ -27,7 +27,7 @@
   readonly selector: TargetSelector
   readonly health: TargetHealth
   readonly stallDetector: StallDetector
-  readonly harmfulParts: HarmfulParts
+  readonly harmfulTraits: HarmfulTraits
   readonly retryCharger: RetryCharger
   readonly log: DecisionLog
   /** Monotonic clock, in milliseconds. */
@@ -46,7 +46,7 @@
 export function createResponseHandler(
   options: ResponseHandlerOptions,
 ): ResponseHandler {
-  const { selector, health, stallDetector, harmfulParts, log, now } = options
+  const { selector, health, stallDetector, harmfulTraits, log, now } = options
   const { retryCharger } = options
 
   // A server error of the target is forwarded unless the call can be retried elsewhere.
@@ -119,14 +119,14 @@
       : RelayOutcome.Broken
     const parts = sharedPartIds(call.request.promptParts)
     if (relayOutcome === RelayOutcome.Complete && isSuccess)
-      harmfulParts.recordAnswered(parts)
+      harmfulTraits.recordAnswered(parts)
     if (relayOutcome !== RelayOutcome.Broken) return NextStep.Done
     if (isAccepted && isSuccess && progress.relay.endedAtStart)
-      harmfulParts.recordCrash(call.request.attemptId, {
+      harmfulTraits.recordCrash(call.request.attemptId, {
         target: targetIncarnation(target),
         sentAtMs: progress.sentAtMs,
         crashedAtMs: now(),
-        parts,
+        traits: parts,
       })
     return handleBroken(call, target, progress, response)
   }
--- a/packages/router/src/node/prompts/__tests__/createHarmfulParts.test.ts
+++ b/packages/router/src/node/crashes/__tests__/createHarmfulTraits.test.ts
@@ -5,14 +5,17 @@
   createSharedRecords,
   type SharedRecords,
 } from '../../peers/createSharedRecords.js'
-import { createHarmfulParts, type HarmfulParts } from '../createHarmfulParts.js'
+import {
+  createHarmfulTraits,
+  type HarmfulTraits,
+} from '../createHarmfulTraits.js'
 
 const LIFETIME_MS = 60_000
 
 /** A router that exchanges its records when the test says so. */
 interface TestRouter {
   readonly records: SharedRecords
-  readonly parts: HarmfulParts
+  readonly traits: HarmfulTraits
 }
 
 function startRouters(count: number, now: () => number): TestRouter[] {
@@ -23,7 +26,7 @@
       onUpdate: () => undefined,
       now,
     })
-    const parts = createHarmfulParts({
+    const traits = createHarmfulTraits({
       records,
       lifetimeMs: LIFETIME_MS,
       onFound: () => undefined,
@@ -31,7 +34,7 @@
       log: { write: () => undefined },
       now,
     })
-    return { records, parts }
+    return { records, traits }
   })
 }
 
@@ -42,23 +45,23 @@
   }
 }
 
-describe('harmful parts', () => {
+describe('harmful traits', () => {
   let nowMs = 0
   let attempts = 0
   const now = (): number => nowMs
 
   function crash(
-    { parts }: TestRouter,
+    { traits }: TestRouter,
     ids: readonly string[],
     attempt?: string,
   ): void {
     attempts += 1
     nowMs += 1_000
-    parts.recordCrash(attempt ?? `attempt-${attempts}`, {
+    traits.recordCrash(attempt ?? `attempt-${attempts}`, {
       target: `i-${attempts}`,
       sentAtMs: nowMs - 500,
       crashedAtMs: nowMs,
-      parts: ids,
+      traits: ids,
     })
   }
 
@@ -67,45 +70,45 @@
     for (const router of routers) crash(router, ['a', 'bad'])
     exchange(routers)
     exchange(routers)
-    for (const { parts } of routers)
-      assert.equal(parts.find(['a', 'bad'])?.part, 'a')
+    for (const { traits } of routers)
+      assert.equal(traits.find(['a', 'bad'])?.trait, 'a')
   })
 
-  it('do not stop requests that share only their other parts', () => {
+  it('do not stop requests that share only their other traits', () => {
     const [router] = startRouters(1, now)
     assert.ok(router)
     for (let i = 0; i < 5; i += 1) crash(router, ['a', 'bad'])
-    assert.equal(router.parts.find(['a', 'other']), undefined)
-    router.parts.recordAnswered(['a', 'other'])
-    assert.equal(router.parts.find(['a', 'bad'])?.part, 'bad')
+    assert.equal(router.traits.find(['a', 'other']), undefined)
+    router.traits.recordAnswered(['a', 'other'])
+    assert.equal(router.traits.find(['a', 'bad'])?.trait, 'bad')
   })
 
   it('are found whatever else their requests have', () => {
     const [router] = startRouters(1, now)
     assert.ok(router)
     for (const other of ['a', 'b', 'c']) crash(router, [other, 'bad'])
-    assert.equal(router.parts.find(['d', 'bad'])?.part, 'bad')
+    assert.equal(router.traits.find(['d', 'bad'])?.trait, 'bad')
   })
 
   it('are found when one request has crashed all three targets', () => {
     const [router] = startRouters(1, now)
     assert.ok(router)
     for (let i = 0; i < 3; i += 1) crash(router, ['bad'], 'attempt')
-    assert.equal(router.parts.find(['bad'])?.part, 'bad')
+    assert.equal(router.traits.find(['bad'])?.trait, 'bad')
   })
 
   it('are forgotten after their lifetime', () => {
     const [router] = startRouters(1, now)
     assert.ok(router)
     for (const other of ['a', 'b', 'c']) crash(router, [other, 'bad'])
-    const found = router.parts.find(['bad'])
+    const found = router.traits.find(['bad'])
     assert.ok(found)
-    assert.equal(router.parts.remainingS(found), LIFETIME_MS / 1_000)
+    assert.equal(router.traits.remainingS(found), LIFETIME_MS / 1_000)
     nowMs += LIFETIME_MS + 1
-    assert.equal(router.parts.find(['bad']), undefined)
+    assert.equal(router.traits.find(['bad']), undefined)
   })
 
-  it('never include a part that any router of the fleet answers between crashes', () => {
+  it('never include a trait that any router of the fleet answers between crashes', () => {
     const step = fc.record({
       crashesAt: fc.nat({ max: 2 }),
       answersAt: fc.nat({ max: 2 }),
@@ -118,12 +121,12 @@
           const router = routers[crashesAt]
           if (router) crash(router, ['sound', ...others, 'bad'])
           nowMs += 1
-          routers[answersAt]?.parts.recordAnswered(['sound'])
+          routers[answersAt]?.traits.recordAnswered(['sound'])
           // An answer in dispute takes a second exchange.
           exchange(routers)
           exchange(routers)
-          for (const { parts } of routers)
-            assert.notEqual(parts.find(['sound', ...others])?.part, 'sound')
+          for (const { traits } of routers)
+            assert.notEqual(traits.find(['sound', ...others])?.trait, 'sound')
         }
       }),
       { seed: 27 },
--- a/packages/router/src/node/prompts/__tests__/findSuspectParts.test.ts
+++ b/packages/router/src/node/crashes/__tests__/findSuspectTraits.test.ts
@@ -1,27 +1,27 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { findSuspectParts } from '../findSuspectParts.js'
+import { findSuspectTraits } from '../findSuspectTraits.js'
 import type { TargetCrash } from '../targetCrash.js'
 
 function crash(
   target: string,
   crashedAtMs: number,
-  parts: readonly string[],
+  traits: readonly string[],
   sentAtMs = crashedAtMs - 100,
 ): TargetCrash {
-  return { target, sentAtMs, crashedAtMs, parts }
+  return { target, sentAtMs, crashedAtMs, traits }
 }
 
 const NEVER_ANSWERED = (): number => -Infinity
 
-describe('findSuspectParts', () => {
+describe('findSuspectTraits', () => {
   it('counts targets that crashed one after the other', () => {
     const crashes = [
       crash('i-3', 3_000, ['a', 'bad']),
       crash('i-1', 1_000, ['a', 'bad']),
       crash('i-2', 2_000, ['b', 'bad']),
     ]
-    const suspects = findSuspectParts(crashes, NEVER_ANSWERED)
+    const suspects = findSuspectTraits(crashes, NEVER_ANSWERED)
     assert.equal(suspects.get('bad')?.crashes, 3)
     assert.deepEqual(suspects.get('bad')?.common, ['bad'])
     assert.equal(suspects.get('a')?.crashes, 2)
@@ -30,7 +30,7 @@
 
   it('counts a target once', () => {
     const crashes = [crash('i-1', 1_000, ['a']), crash('i-1', 2_000, ['a'])]
-    const suspects = findSuspectParts(crashes, NEVER_ANSWERED)
+    const suspects = findSuspectTraits(crashes, NEVER_ANSWERED)
     assert.equal(suspects.get('a')?.crashes, 1)
   })
 
@@ -40,18 +40,18 @@
       crash('i-2', 1_400, ['a'], 900),
       crash('i-3', 1_800, ['a'], 950),
     ]
-    const suspects = findSuspectParts(crashes, NEVER_ANSWERED)
+    const suspects = findSuspectTraits(crashes, NEVER_ANSWERED)
     assert.equal(suspects.get('a')?.crashes, 1)
   })
 
-  it('ignores crashes before a part was answered', () => {
+  it('ignores crashes before a trait was answered', () => {
     const crashes = [
       crash('i-1', 1_000, ['a', 'bad']),
       crash('i-2', 3_000, ['a', 'bad']),
     ]
-    const answeredAtMs = (part: string): number =>
-      part === 'a' ? 2_000 : -Infinity
-    const suspects = findSuspectParts(crashes, answeredAtMs)
+    const answeredAtMs = (trait: string): number =>
+      trait === 'a' ? 2_000 : -Infinity
+    const suspects = findSuspectTraits(crashes, answeredAtMs)
     assert.equal(suspects.get('a')?.crashes, 1)
     assert.equal(suspects.get('bad')?.crashes, 2)
   })
--- a/packages/router/src/node/prompts/createHarmfulPartGuard.ts
+++ b/packages/router/src/node/crashes/createHarmfulTraitGuard.ts
@@ -3,14 +3,17 @@
 import type { SharedRecords } from '../peers/createSharedRecords.js'
 import type { LogRestores } from '../sources/createLogRestores.js'
 import type { KeyedStore } from '../sources/keyedStore.js'
-import { createHarmfulParts, type HarmfulParts } from './createHarmfulParts.js'
-import { createHarmfulPartStorage } from './createHarmfulPartStorage.js'
-import type { StoredHarmfulPart } from './storedHarmfulPart.js'
+import {
+  createHarmfulTraits,
+  type HarmfulTraits,
+} from './createHarmfulTraits.js'
+import { createHarmfulTraitStorage } from './createHarmfulTraitStorage.js'
+import type { StoredHarmfulTrait } from './storedHarmfulTrait.js'
 
-/** Options for {@link createHarmfulPartGuard}. */
-export interface HarmfulPartGuardOptions {
+/** Options for {@link createHarmfulTraitGuard}. */
+export interface HarmfulTraitGuardOptions {
   readonly records: SharedRecords
-  readonly store: KeyedStore<StoredHarmfulPart>
+  readonly store: KeyedStore<StoredHarmfulTrait>
   readonly logRestores: LogRestores
   /** Whether a live peer passes on what it knows. */
   readonly hasPeers: () => boolean
@@ -19,19 +22,19 @@
   readonly now: () => number
 }
 
-/** Finds harmful prompt parts and keeps them in the log. */
-export interface HarmfulPartGuard {
-  readonly parts: HarmfulParts
+/** Finds harmful traits of requests and keeps them in the log. */
+export interface HarmfulTraitGuard {
+  readonly traits: HarmfulTraits
   stop(): void
 }
 
 /** Creates a guard that knows what the log and the records of the fleet say. */
-export function createHarmfulPartGuard(
-  options: HarmfulPartGuardOptions,
-): HarmfulPartGuard {
+export function createHarmfulTraitGuard(
+  options: HarmfulTraitGuardOptions,
+): HarmfulTraitGuard {
   const lifetimeMs = HARMFUL_PART_LIFETIME_MS
-  const storage = createHarmfulPartStorage({ ...options, lifetimeMs })
-  const parts = createHarmfulParts({
+  const storage = createHarmfulTraitStorage({ ...options, lifetimeMs })
+  const parts = createHarmfulTraits({
     ...options,
     lifetimeMs,
     onFound: (part) => {
@@ -42,7 +45,7 @@
     },
   })
   return {
-    parts,
+    traits: parts,
     stop: () => {
       storage.stop()
     },
--- a/packages/router/src/node/prompts/createHarmfulPartStorage.ts
+++ b/packages/router/src/node/crashes/createHarmfulTraitStorage.ts
@@ -4,15 +4,15 @@
 import type { LogRestores } from '../sources/createLogRestores.js'
 import { createSourceFollower } from '../sources/createSourceFollower.js'
 import type { KeyedStore } from '../sources/keyedStore.js'
-import type { HarmfulPart } from './harmfulPart.js'
-import type { StoredHarmfulPart } from './storedHarmfulPart.js'
+import type { HarmfulTrait } from './harmfulTrait.js'
+import type { StoredHarmfulTrait } from './storedHarmfulTrait.js'
 
-/** Options for {@link createHarmfulPartStorage}. */
-export interface HarmfulPartStorageOptions {
-  readonly store: KeyedStore<StoredHarmfulPart>
+/** Options for {@link createHarmfulTraitStorage}. */
+export interface HarmfulTraitStorageOptions {
+  readonly store: KeyedStore<StoredHarmfulTrait>
   readonly logRestores: LogRestores
   readonly records: SharedRecords
-  /** Milliseconds after the last crash for which a harmful part is refused. */
+  /** Milliseconds after the last crash for which a harmful trait is refused. */
   readonly lifetimeMs: number
   /** Whether a live peer passes on what it knows. */
   readonly hasPeers: () => boolean
@@ -20,47 +20,51 @@
   readonly now: () => number
 }
 
-/** Keeps harmful parts in the log, where they outlive all routers. */
-export interface HarmfulPartStorage {
-  save(part: HarmfulPart): void
-  remove(part: string): void
+/** Keeps harmful traits in the log, where they outlive all routers. */
+export interface HarmfulTraitStorage {
+  save(trait: HarmfulTrait): void
+  remove(trait: string): void
   stop(): void
 }
 
 /** Milliseconds between two attempts to write, and between two polls of a router without peers. */
 const RETRY_MS = 1_000
 
-/** Starts to read the stored parts into the records of the fleet. */
-export function createHarmfulPartStorage(
-  options: HarmfulPartStorageOptions,
-): HarmfulPartStorage {
+/** Starts to read the stored traits into the records of the fleet. */
+export function createHarmfulTraitStorage(
+  options: HarmfulTraitStorageOptions,
+): HarmfulTraitStorage {
   const { store, logRestores, records, lifetimeMs, now } = options
   const stopping = new AbortController()
   const { signal } = stopping
-  const saved = new Map<string, StoredHarmfulPart>()
+  const saved = new Map<string, StoredHarmfulTrait>()
   /** Parts to be written; without a value they are removed. */
-  const unwritten = new Map<string, StoredHarmfulPart | undefined>()
+  const unwritten = new Map<string, StoredHarmfulTrait | undefined>()
   let isWriting = false
 
-  function publish(part: string, { common, untilMs }: StoredHarmfulPart): void {
+  function publish(
+    trait: string,
+    { common, untilMs }: StoredHarmfulTrait,
+  ): void {
     const isKnown = records
-      .list(RecordKind.HarmfulPart)
-      .some(({ key }) => key === part)
+      .list(RecordKind.HarmfulTrait)
+      .some(({ key }) => key === trait)
     const remainingMs = Math.min(lifetimeMs, untilMs - Date.now())
     if (isKnown || remainingMs <= 0) return
     const lastCrashAtMs = now() + remainingMs - lifetimeMs
-    records.publish(RecordKind.HarmfulPart, part, common, lastCrashAtMs)
+    records.publish(RecordKind.HarmfulTrait, trait, common, lastCrashAtMs)
   }
 
   async function write(): Promise<void> {
     if (isWriting) return
     isWriting = true
     while (unwritten.size > 0 && !signal.aborted) {
-      for (const [part, value] of [...unwritten]) {
+      for (const [trait, value] of [...unwritten]) {
         const isConfirmed = value
-          ? await store.put(part, value)
-          : await store.remove(part)
-        if (isConfirmed && unwritten.get(part) === value) unwritten.delete(part)
+          ? await store.put(trait, value)
+          : await store.remove(trait)
+        if (isConfirmed && unwritten.get(trait) === value)
+          unwritten.delete(trait)
       }
       if (unwritten.size > 0)
         await sleep(RETRY_MS, undefined, { signal }).catch(() => undefined)
@@ -70,7 +74,7 @@
 
   // The log may have lost what was written shortly before.
   logRestores.onRestore(() => {
-    for (const [part, value] of saved) unwritten.set(part, value)
+    for (const [trait, value] of saved) unwritten.set(trait, value)
     void write()
   })
 
@@ -82,7 +86,7 @@
     hasRetryingPeer: () => true,
     now,
     onListing(values) {
-      for (const [part, value] of values) publish(part, value)
+      for (const [trait, value] of values) publish(trait, value)
     },
     onEntry({ key, value }) {
       if (value) publish(key, value)
@@ -90,17 +94,17 @@
   })
 
   return {
-    save({ part, common, lastCrashAtMs }) {
-      // The common parts only become fewer.
-      if (saved.get(part)?.common.length === common.length) return
+    save({ trait, common, lastCrashAtMs }) {
+      // The common traits only become fewer.
+      if (saved.get(trait)?.common.length === common.length) return
       const untilMs = Date.now() + lastCrashAtMs + lifetimeMs - now()
-      saved.set(part, { common, untilMs })
-      unwritten.set(part, saved.get(part))
+      saved.set(trait, { common, untilMs })
+      unwritten.set(trait, saved.get(trait))
       void write()
     },
-    remove(part) {
-      saved.delete(part)
-      unwritten.set(part, undefined)
+    remove(trait) {
+      saved.delete(trait)
+      unwritten.set(trait, undefined)
       void write()
     },
     stop() {
--- /dev/null
+++ b/packages/router/src/node/crashes/createHarmfulTraits.ts
@@ -0,0 +1,166 @@
+import { LRUCache } from 'lru-cache'
+import type { DecisionLog } from '../logging/decisionLog.js'
+import { LogEvent } from '../logging/logEvent.js'
+import type { SharedRecords } from '../peers/createSharedRecords.js'
+import { RecordKind } from '../peers/sharedRecord.js'
+import { findSuspectTraits, type SuspectTrait } from './findSuspectTraits.js'
+import type { HarmfulTrait } from './harmfulTrait.js'
+import { decodeCrash, encodeCrash, type TargetCrash } from './targetCrash.js'
+
+/** Options for {@link createHarmfulTraits}. */
+export interface HarmfulTraitsOptions {
+  readonly records: SharedRecords
+  /** Milliseconds after the last crash for which a harmful trait is refused. */
+  readonly lifetimeMs: number
+  /** Called for each harmful trait that this router's requests have shown to be harmful, whenever the evidence changes. */
+  readonly onFound: (trait: HarmfulTrait) => void
+  /** Called when a trait that counted as harmful was answered. */
+  readonly onCleared: (trait: string) => void
+  readonly log: DecisionLog
+  /** Monotonic clock, in milliseconds. */
+  readonly now: () => number
+}
+
+/** Finds the traits of requests that crash the targets which answer them. */
+export interface HarmfulTraits {
+  /** Records that a target broke off as it began to answer a request. */
+  recordCrash(attemptId: string, crash: TargetCrash): void
+  /** Records that a request with these shared traits was answered completely. */
+  recordAnswered(traits: readonly string[]): void
+  /** Returns the harmful trait for which a request is refused; undefined if there is none. */
+  find(traits: readonly string[]): HarmfulTrait | undefined
+  /** Returns the seconds for which requests with a harmful trait are refused. */
+  remainingS(trait: HarmfulTrait): number
+}
+
+/** Crashes that show a trait to be harmful: chance doesn't bring three without an answer in between. */
+const MIN_CRASHES = 3
+/** Crashes from which other routers need to know of an answer. */
+const MIN_DISPUTED_CRASHES = MIN_CRASHES - 1
+/** Answered traits that are remembered, at about 100 bytes each. */
+const MAX_ANSWERED = 10_000
+/** Parts of requests under which targets crashed here that are remembered. */
+const MAX_CRASHED = 1_000
+/** A trait answered within this time, in milliseconds, needs no report. */
+const RECENT_ANSWER_MS = 5_000
+/** Parts of one request that are considered, the most specific ones. */
+const MAX_PARTS = 32
+/** Longest id of a trait that is considered, in characters. */
+const MAX_PART_LENGTH = 64
+const MS_PER_S = 1_000
+/** Kinds of records that show which traits are harmful. */
+const KINDS = [
+  RecordKind.TargetCrash,
+  RecordKind.TraitAnswered,
+  RecordKind.HarmfulTrait,
+]
+
+function considered(traits: readonly string[]): string[] {
+  return traits
+    .filter(({ length }) => length <= MAX_PART_LENGTH)
+    .slice(-MAX_PARTS)
+}
+
+/** Creates a finder without suspect traits. */
+export function createHarmfulTraits(
+  options: HarmfulTraitsOptions,
+): HarmfulTraits {
+  const { records, lifetimeMs, log, now } = options
+  const answeredHereAtMs = new LRUCache<string, number>({ max: MAX_ANSWERED })
+  const crashedHere = new LRUCache<string, true>({ max: MAX_CRASHED })
+  let suspects = new Map<string, SuspectTrait>()
+  let harmful = new Map<string, HarmfulTrait>()
+
+  /** Returns the latest time at which each trait was answered. */
+  function answersOfFleet(): Map<string, number> {
+    const answers = new Map<string, number>()
+    for (const { key, observedAtMs } of records.list(RecordKind.TraitAnswered))
+      answers.set(key, Math.max(answers.get(key) ?? -Infinity, observedAtMs))
+    return answers
+  }
+
+  function publishAnswer(trait: string, answeredAtMs: number): void {
+    records.publish(RecordKind.TraitAnswered, trait, [], answeredAtMs)
+  }
+
+  function findHarmful(
+    answers: ReadonlyMap<string, number>,
+  ): Map<string, HarmfulTrait> {
+    const found = new Map<string, HarmfulTrait>()
+    for (const record of records.list(RecordKind.HarmfulTrait)) {
+      const { key: trait, value: common, observedAtMs: lastCrashAtMs } = record
+      if (lastCrashAtMs > (answers.get(trait) ?? -Infinity))
+        found.set(trait, { trait, common, lastCrashAtMs })
+    }
+    for (const [trait, { crashes, common, lastCrashAtMs }] of suspects)
+      if (crashes >= MIN_CRASHES)
+        found.set(trait, { trait, common, lastCrashAtMs })
+    return found
+  }
+
+  function update(): void {
+    const answers = answersOfFleet()
+    suspects = findSuspectTraits(
+      records.list(RecordKind.TargetCrash).map(decodeCrash),
+      (trait) => answers.get(trait) ?? -Infinity,
+    )
+    const before = harmful
+    harmful = findHarmful(answers)
+    for (const [trait, found] of harmful) {
+      if (!before.has(trait))
+        log.write(LogEvent.PartBlocked, {
+          part: trait,
+          common: found.common.join(),
+        })
+      if (crashedHere.has(trait)) options.onFound(found)
+    }
+    for (const trait of before.keys())
+      if (!harmful.has(trait)) log.write(LogEvent.PartAllowed, { part: trait })
+    // Routers that saw no answer count the crashes before it.
+    for (const [trait, { crashes, firstCrashAtMs }] of suspects) {
+      const answeredAtMs = answeredHereAtMs.get(trait) ?? -Infinity
+      if (crashes >= MIN_DISPUTED_CRASHES && answeredAtMs > firstCrashAtMs)
+        publishAnswer(trait, answeredAtMs)
+    }
+  }
+
+  for (const kind of KINDS) records.onChange(kind, update)
+
+  return {
+    recordCrash(attemptId, crash) {
+      const traits = considered(crash.traits)
+      const recentMs = now() - RECENT_ANSWER_MS
+      const isRecent = (trait: string): boolean =>
+        (answeredHereAtMs.get(trait) ?? -Infinity) >= recentMs
+      if (traits.every(isRecent)) return
+      for (const trait of traits) crashedHere.set(trait, true)
+      records.publish(
+        RecordKind.TargetCrash,
+        `${attemptId}/${crash.target}`,
+        encodeCrash({ ...crash, traits }),
+        crash.crashedAtMs,
+      )
+    },
+    recordAnswered(traits) {
+      for (const trait of considered(traits)) {
+        answeredHereAtMs.set(trait, now())
+        const wasHarmful = harmful.has(trait)
+        const crashes = suspects.get(trait)?.crashes ?? 0
+        if (!wasHarmful && crashes < MIN_DISPUTED_CRASHES) continue
+        publishAnswer(trait, now())
+        if (wasHarmful) options.onCleared(trait)
+      }
+    },
+    find(traits) {
+      if (harmful.size === 0) return undefined
+      for (const trait of traits) {
+        const found = harmful.get(trait)
+        if (!found || now() - found.lastCrashAtMs > lifetimeMs) continue
+        if (found.common.every((other) => traits.includes(other))) return found
+      }
+      return undefined
+    },
+    remainingS: ({ lastCrashAtMs }) =>
+      Math.max(1, Math.ceil((lastCrashAtMs + lifetimeMs - now()) / MS_PER_S)),
+  }
+}
--- a/packages/router/src/node/prompts/findSuspectParts.ts
+++ b/packages/router/src/node/crashes/findSuspectTraits.ts
@@ -1,7 +1,7 @@
 import type { TargetCrash } from './targetCrash.js'
 
-/** A prompt part under which targets crashed. */
-export interface SuspectPart {
+/** A trait of requests under which targets crashed. */
+export interface SuspectTrait {
   /** Crashes of different targets, each under a request sent after the one before. */
   crashes: number
   /** Parts that all requests under which they crashed had. */
@@ -11,33 +11,33 @@
 }
 
 /**
- * Returns the parts under which targets crashed, by crashes since each part was last answered.
+ * Returns the traits under which targets crashed, by crashes since each trait was last answered.
  * Targets that crash together, as when a rack fails, count once: their requests were sent before.
- * @param answeredAtMs Returns when a part was last answered; -Infinity if it was not.
+ * @param answeredAtMs Returns when a trait was last answered; -Infinity if it was not.
  */
-export function findSuspectParts(
+export function findSuspectTraits(
   crashes: readonly TargetCrash[],
-  answeredAtMs: (part: string) => number,
-): Map<string, SuspectPart> {
-  const suspects = new Map<string, SuspectPart>()
+  answeredAtMs: (trait: string) => number,
+): Map<string, SuspectTrait> {
+  const suspects = new Map<string, SuspectTrait>()
   const crashedTargets = new Map<string, Set<string>>()
   const inOrder = crashes.toSorted((a, b) => a.crashedAtMs - b.crashedAtMs)
-  for (const { target, sentAtMs, crashedAtMs, parts } of inOrder) {
-    for (const part of parts) {
-      if (crashedAtMs <= answeredAtMs(part)) continue
-      const suspect = suspects.get(part)
-      const targets = crashedTargets.get(part)
+  for (const { target, sentAtMs, crashedAtMs, traits } of inOrder) {
+    for (const trait of traits) {
+      if (crashedAtMs <= answeredAtMs(trait)) continue
+      const suspect = suspects.get(trait)
+      const targets = crashedTargets.get(trait)
       if (!suspect || !targets) {
-        crashedTargets.set(part, new Set([target]))
-        suspects.set(part, {
+        crashedTargets.set(trait, new Set([target]))
+        suspects.set(trait, {
           crashes: 1,
-          common: parts,
+          common: traits,
           firstCrashAtMs: crashedAtMs,
           lastCrashAtMs: crashedAtMs,
         })
         continue
       }
-      suspect.common = suspect.common.filter((other) => parts.includes(other))
+      suspect.common = suspect.common.filter((other) => traits.includes(other))
       if (targets.has(target) || sentAtMs < suspect.lastCrashAtMs) continue
       targets.add(target)
       suspect.crashes += 1
--- a/packages/router/src/node/prompts/targetCrash.ts
+++ b/packages/router/src/node/crashes/targetCrash.ts
@@ -7,14 +7,14 @@
   /** Times on the monotonic clock, in milliseconds. */
   readonly sentAtMs: number
   readonly crashedAtMs: number
-  /** Parts of the request's prompt that other requests may have too. */
-  readonly parts: readonly string[]
+  /** What the request has in common with others: its shared prompt parts. */
+  readonly traits: readonly string[]
 }
 
 /** Returns the value of a crash's shared record. */
 export function encodeCrash(crash: TargetCrash): string[] {
-  const { target, sentAtMs, crashedAtMs, parts } = crash
-  return [target, String(Math.round(crashedAtMs - sentAtMs)), ...parts]
+  const { target, sentAtMs, crashedAtMs, traits } = crash
+  return [target, String(Math.round(crashedAtMs - sentAtMs)), ...traits]
 }
 
 /** Returns the crash of a shared record. */
@@ -22,7 +22,7 @@
   value,
   observedAtMs,
 }: Pick<SharedRecord, 'value' | 'observedAtMs'>): TargetCrash {
-  const [target = '', runMs = '0', ...parts] = value
+  const [target = '', runMs = '0', ...traits] = value
   const sentAtMs = observedAtMs - Number(runMs)
-  return { target, sentAtMs, crashedAtMs: observedAtMs, parts }
+  return { target, sentAtMs, crashedAtMs: observedAtMs, traits }
 }
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -15,7 +15,7 @@
 import { createPeers, type Peers } from './peers/createPeers.js'
 import { createSharedRecords } from './peers/createSharedRecords.js'
 import { createRouterState } from './peers/createRouterState.js'
-import { createHarmfulPartGuard } from './prompts/createHarmfulPartGuard.js'
+import { createHarmfulTraitGuard } from './crashes/createHarmfulTraitGuard.js'
 import type { RouterPorts } from './routerPorts.js'
 import { createCacheRecovery } from './routing/createCacheRecovery.js'
 import { createRoutingState } from './routing/createRoutingState.js'
@@ -116,9 +116,9 @@
     now,
   })
 
-  const harmfulPartGuard = createHarmfulPartGuard({
+  const harmfulTraitGuard = createHarmfulTraitGuard({
     records,
-    store: ports.harmfulParts,
+    store: ports.harmfulTraits,
     logRestores: ports.logRestores,
     hasPeers: () => livePeerCount() > 0,
     log,
@@ -153,7 +153,7 @@
     streams,
     records,
     fleetSize,
-    harmfulParts: harmfulPartGuard.parts,
+    harmfulTraits: harmfulTraitGuard.traits,
     sharesCache,
     onNewPrompt: () => {
       peers.current?.scheduleBroadcast()
@@ -199,7 +199,7 @@
       cacheRecovery.stop()
       configurations.stop()
       targets.stop()
-      harmfulPartGuard.stop()
+      harmfulTraitGuard.stop()
       peers.current?.close()
       callPath.close()
       await statusServers.close()
--- a/packages/router/src/node/peers/sharedRecord.ts
+++ b/packages/router/src/node/peers/sharedRecord.ts
@@ -1,11 +1,11 @@
 /** Kinds of facts that one router observes and that bind every router of the fleet. */
 export enum RecordKind {
-  /** A target broke off as it began to answer; key: attempt and target, value: target, milliseconds since the send, prompt parts. */
+  /** A target broke off as it began to answer; key: attempt and target, value: target, milliseconds since the send, traits of the request. */
   TargetCrash = 'crash',
-  /** A prompt part was answered completely; key: part. */
-  PartAnswered = 'answered',
-  /** A prompt part was found harmful before the routers restarted; key: part, value: the parts that its requests have in common. */
-  HarmfulPart = 'harmful',
+  /** A request with a trait was answered completely; key: trait. */
+  TraitAnswered = 'answered',
+  /** A trait was found harmful before the routers restarted; key: trait, value: the traits that its requests have in common. */
+  HarmfulTrait = 'harmful',
   /** A target named a limit on its requests per second, or none; key: target, value: limit. */
   TargetLimit = 'limit',
 }
--- a/packages/router/src/node/routerPorts.ts
+++ b/packages/router/src/node/routerPorts.ts
@@ -3,7 +3,7 @@
 import type { DecisionLog } from './logging/decisionLog.js'
 import type { PeerAddress } from './peers/peerAddress.js'
 import type { LogRestores } from './sources/createLogRestores.js'
-import type { StoredHarmfulPart } from './prompts/storedHarmfulPart.js'
+import type { StoredHarmfulTrait } from './crashes/storedHarmfulTrait.js'
 import type { KeyedSource } from './sources/keyedSource.js'
 import type { KeyedStore } from './sources/keyedStore.js'
 import type { CacheInventory } from './targets/cacheInventory.js'
@@ -27,8 +27,8 @@
   /** Targets by id. */
   readonly targets: KeyedSource<Target>
   readonly directory: RouterDirectory
-  /** Harmful prompt parts by id, which outlive all routers. */
-  readonly harmfulParts: KeyedStore<StoredHarmfulPart>
+  /** Harmful traits of requests by id, which outlive all routers. */
+  readonly harmfulTraits: KeyedStore<StoredHarmfulTrait>
   readonly cacheInventory: CacheInventory
   /** Restores of the log that holds configurations, targets and the directory. */
   readonly logRestores: LogRestores
