Refuse a request that has crashed three targets

On routes with prompts, sound requests with the same prompt parts were refused with it. Cause: routers blame prompt parts only, from responses that break off after their head. A request without a prompt, or one whose target closes the connection first, was no evidence, and one request's crashes were laid to the parts that it shares. Class: a fault of the request is kept as a fault of the target. Change: a crash report has the fingerprint of the request as one more trait; a connection that closes before a response is reported too. A prompt part whose crashes one request explains is not blamed. What crashes have in common is taken over all requests that each target broke off. Why it works: the fingerprint is the same at every router and attempt; shared records bring three reports of it to all routers within a few digests, the log after a restart of all. Sound requests have another one, and are not refused even with the same path, customer and prompt. Tried first: refusing by the fingerprint alone.

--- a/packages/core/src/node/verdict/failureCode.ts
+++ b/packages/core/src/node/verdict/failureCode.ts
@@ -10,6 +10,7 @@
   Overloaded = 'overloaded',
   UnknownStream = 'unknown-stream',
   HarmfulPrompt = 'harmful-prompt',
+  HarmfulRequest = 'harmful-request',
   LimitReached = 'limit-reached',
   DeadlinePassed = 'deadline-passed',
   TargetUnreachable = 'target-unreachable',
--- a/packages/daemon/src/node/callers/createFailure.ts
+++ b/packages/daemon/src/node/callers/createFailure.ts
@@ -11,6 +11,7 @@
   [FailureCode.Overloaded]: 503,
   [FailureCode.UnknownStream]: 503,
   [FailureCode.HarmfulPrompt]: 503,
+  [FailureCode.HarmfulRequest]: 503,
   [FailureCode.LimitReached]: 429,
   [FailureCode.DeadlinePassed]: 504,
   [FailureCode.TargetUnreachable]: 502,
--- a/packages/router/src/node/callers/callProgress.ts
+++ b/packages/router/src/node/callers/callProgress.ts
@@ -8,6 +8,7 @@
 import type { Call } from './call.js'
 import type { ResponseRelay } from './createResponseRelay.js'
 import { failures } from './failures.js'
+import { requestTraits } from './requestTraits.js'
 
 /** Minimum time before the deadline for a send to be worthwhile, in milliseconds. */
 export const MIN_REMAINING_MS = 5
@@ -15,6 +16,8 @@
 /** State of one call across its sends to targets. */
 export interface CallProgress {
   readonly relay: ResponseRelay
+  /** What the call has in common with requests that may crash targets. */
+  readonly traits: readonly string[]
   /** Ids of the targets that the call was sent to. */
   readonly tried: Set<string>
   /** Software version that began the stream, once the caller has an event of it. */
@@ -28,17 +31,19 @@
   lastCause?: TargetFailureCause
   /** Placement of the last send. */
   placement?: Placement
-  /** Prompt part for which the call is not sent to a target, or not to a further one. */
+  /** Trait for which the call is not sent to a target, or not to a further one. */
   harmfulTrait?: HarmfulTrait | undefined
 }
 
 /** Creates the progress of a call that has not been sent yet. */
 export function createCallProgress(
   relay: ResponseRelay,
-  { softwareVersion }: Pick<Call, 'softwareVersion'>,
+  call: Call,
 ): CallProgress {
+  const { softwareVersion } = call
   return {
     relay,
+    traits: requestTraits(call),
     ...(softwareVersion !== undefined && { softwareVersion }),
     tried: new Set(),
     possibleRuns: 0,
--- /dev/null
+++ b/packages/router/src/node/callers/createCrashReporter.ts
@@ -0,0 +1,34 @@
+import type { HarmfulTraits } from '../crashes/createHarmfulTraits.js'
+import type { Target } from '../targets/target.js'
+import { targetIncarnation } from '../targets/targetIncarnation.js'
+import type { Call } from './call.js'
+import type { CallProgress } from './callProgress.js'
+
+/** Options for {@link createCrashReporter}. */
+export interface CrashReporterOptions {
+  readonly harmfulTraits: HarmfulTraits
+  /** Monotonic clock, in milliseconds. */
+  readonly now: () => number
+}
+
+/** Reports that a target broke off as it began to run a call. */
+export type CrashReporter = (
+  call: Call,
+  target: Target,
+  progress: CallProgress,
+) => void
+
+/** Creates a reporter. */
+export function createCrashReporter({
+  harmfulTraits,
+  now,
+}: CrashReporterOptions): CrashReporter {
+  return ({ request }, target, { sentAtMs, traits }) => {
+    harmfulTraits.recordCrash(request.attemptId, {
+      target: targetIncarnation(target),
+      sentAtMs,
+      crashedAtMs: now(),
+      traits,
+    })
+  }
+}
--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -18,6 +18,7 @@
   MIN_REMAINING_MS,
   resolveFailure,
 } from './callProgress.js'
+import { createCrashReporter } from './createCrashReporter.js'
 import { createFailureHandler } from './createFailureHandler.js'
 import { createNotRunExplainer } from './createNotRunExplainer.js'
 import { createResponseHandler } from './createResponseHandler.js'
@@ -27,7 +28,6 @@
 import type { DispatchOutcome } from './dispatchOutcome.js'
 import { failures } from './failures.js'
 import { NextStep } from './nextStep.js'
-import { sharedPartIds } from './sharedPartIds.js'
 import { waitForCacheLocation } from './waitForCacheLocation.js'
 
 /** Maximum number of sends of one request, including refused and undelivered ones. */
@@ -60,10 +60,15 @@
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { selector, harmfulTraits, now } = options
   const retryCharger = createRetryCharger(options)
+  const reportCrash = createCrashReporter(options)
   const sendTo = createTargetSender({
     ...options,
-    handleFailure: createFailureHandler(options),
-    handleResponse: createResponseHandler({ ...options, retryCharger }),
+    handleFailure: createFailureHandler({ ...options, reportCrash }),
+    handleResponse: createResponseHandler({
+      ...options,
+      reportCrash,
+      retryCharger,
+    }),
   })
   const explainNotRun = createNotRunExplainer(options)
 
@@ -87,10 +92,9 @@
       recoveryMs: options.recoveryMs,
     })
 
-    const parts = sharedPartIds(call.request.promptParts)
     while (progress.sends < MAX_SENDS && !call.signal.aborted) {
       if (call.deadlineAtMs - now() < MIN_REMAINING_MS) break
-      progress.harmfulTrait = harmfulTraits.find(parts)
+      progress.harmfulTrait = harmfulTraits.find(progress.traits)
       if (progress.harmfulTrait) break
       const placement = selector.select(call, progress)
       if (!placement) break
--- a/packages/router/src/node/callers/createFailureHandler.ts
+++ b/packages/router/src/node/callers/createFailureHandler.ts
@@ -13,6 +13,7 @@
 } from '../targets/targetFailure.js'
 import type { Call } from './call.js'
 import { type CallProgress, canRetry } from './callProgress.js'
+import type { CrashReporter } from './createCrashReporter.js'
 import { loggedPartIds } from './loggedPartIds.js'
 import { NextStep } from './nextStep.js'
 import { requestFingerprint } from './requestFingerprint.js'
@@ -21,6 +22,7 @@
 export interface FailureHandlerOptions {
   readonly health: TargetHealth
   readonly client: TargetClient
+  readonly reportCrash: CrashReporter
   readonly log: DecisionLog
   /** Monotonic clock, in milliseconds. */
   readonly now: () => number
@@ -49,7 +51,11 @@
       health.recordUnreachable(target.id, now())
     progress.verdict = combineVerdicts(progress.verdict, failure.verdict)
     progress.lastCause = failure.cause
-    if (failure.verdict !== Verdict.NotRun) progress.possibleRuns += 1
+    if (failure.verdict !== Verdict.NotRun) {
+      progress.possibleRuns += 1
+      if (failure.cause === TargetFailureCause.Broken)
+        options.reportCrash(call, target, progress)
+    }
     log.write(LogEvent.RequestSent, {
       request: call.request.attemptId,
       target: target.id,
--- a/packages/router/src/node/callers/createNotRunExplainer.ts
+++ b/packages/router/src/node/callers/createNotRunExplainer.ts
@@ -1,5 +1,6 @@
 import type { RequestFailure } from '@auburnbay/core/verdict/requestFailure'
 import type { HarmfulTraits } from '../crashes/createHarmfulTraits.js'
+import { isRequestTrait } from '../crashes/requestTrait.js'
 import type { TargetSelector } from '../routing/createTargetSelector.js'
 import type { Call } from './call.js'
 import type { CallProgress } from './callProgress.js'
@@ -11,7 +12,7 @@
   readonly selector: TargetSelector
 }
 
-/** Returns why a call that did not run was sent to no further target; undefined if neither its prompt nor limits are the reason. */
+/** Returns why a call that did not run was sent to no further target; undefined if neither earlier crashes nor limits are the reason. */
 export type NotRunExplainer = (
   call: Call,
   progress: CallProgress,
@@ -27,7 +28,10 @@
   return (call, { harmfulTrait }) => {
     if (harmfulTrait) {
       const retryAfterS = harmfulTraits.remainingS(harmfulTrait)
-      return { ...failures.harmfulPrompt, retryAfterS }
+      const failure = isRequestTrait(harmfulTrait.trait)
+        ? failures.harmfulRequest
+        : failures.harmfulPrompt
+      return { ...failure, retryAfterS }
     }
     const waitMs = selector.waitMs(call)
     if (waitMs === 0) return undefined
--- a/packages/router/src/node/callers/createResponseHandler.ts
+++ b/packages/router/src/node/callers/createResponseHandler.ts
@@ -9,15 +9,14 @@
 import type { TargetResponse } from '../targets/createTargetClient.js'
 import type { Target } from '../targets/target.js'
 import { TargetFailureCause } from '../targets/targetFailure.js'
-import { targetIncarnation } from '../targets/targetIncarnation.js'
 import type { Call } from './call.js'
 import { type CallProgress, canRetry } from './callProgress.js'
+import type { CrashReporter } from './createCrashReporter.js'
 import type { RetryCharger } from './createRetryCharger.js'
 import { loggedPartIds } from './loggedPartIds.js'
 import { NextStep } from './nextStep.js'
 import { RelayOutcome } from './relayOutcome.js'
 import { requestFingerprint } from './requestFingerprint.js'
-import { sharedPartIds } from './sharedPartIds.js'
 
 const MIN_FAILURE_STATUS = 300
 const MIN_SERVER_ERROR_STATUS = 500
@@ -28,6 +27,7 @@
   readonly health: TargetHealth
   readonly stallDetector: StallDetector
   readonly harmfulTraits: HarmfulTraits
+  readonly reportCrash: CrashReporter
   readonly retryCharger: RetryCharger
   readonly log: DecisionLog
   /** Monotonic clock, in milliseconds. */
@@ -47,7 +47,7 @@
   options: ResponseHandlerOptions,
 ): ResponseHandler {
   const { selector, health, stallDetector, harmfulTraits, log, now } = options
-  const { retryCharger } = options
+  const { reportCrash, retryCharger } = options
 
   // A server error of the target is forwarded unless the call can be retried elsewhere.
   function shouldRetryServerError(
@@ -117,17 +117,11 @@
     const relayOutcome = isAccepted
       ? await forward(target, progress, response)
       : RelayOutcome.Broken
-    const parts = sharedPartIds(call.request.promptParts)
     if (relayOutcome === RelayOutcome.Complete && isSuccess)
-      harmfulTraits.recordAnswered(parts)
+      harmfulTraits.recordAnswered(progress.traits)
     if (relayOutcome !== RelayOutcome.Broken) return NextStep.Done
     if (isAccepted && isSuccess && progress.relay.endedAtStart)
-      harmfulTraits.recordCrash(call.request.attemptId, {
-        target: targetIncarnation(target),
-        sentAtMs: progress.sentAtMs,
-        crashedAtMs: now(),
-        traits: parts,
-      })
+      reportCrash(call, target, progress)
     return handleBroken(call, target, progress, response)
   }
 }
--- a/packages/router/src/node/callers/failures.ts
+++ b/packages/router/src/node/callers/failures.ts
@@ -75,6 +75,11 @@
     503,
     'targets crashed when they answered requests with a part of this prompt; change the prompt',
   ),
+  harmfulRequest: createNotRunFailure(
+    FailureCode.HarmfulRequest,
+    503,
+    'targets crashed when they ran this request; change it',
+  ),
   unknownStream: createNotRunFailure(
     FailureCode.UnknownStream,
     503,
--- a/packages/router/src/node/crashes/__tests__/createHarmfulTraits.test.ts
+++ b/packages/router/src/node/crashes/__tests__/createHarmfulTraits.test.ts
@@ -9,6 +9,7 @@
   createHarmfulTraits,
   type HarmfulTraits,
 } from '../createHarmfulTraits.js'
+import { requestTrait } from '../requestTrait.js'
 
 const LIFETIME_MS = 60_000
 
@@ -83,6 +84,32 @@
     assert.equal(router.traits.find(['a', 'bad'])?.trait, 'bad')
   })
 
+  it('leave out the prompt parts of one request that explains all crashes', () => {
+    const [router] = startRouters(1, now)
+    assert.ok(router)
+    const request = requestTrait('bad')
+    for (let i = 0; i < 5; i += 1) crash(router, ['a', request])
+    assert.equal(router.traits.find(['a', request])?.trait, request)
+    assert.equal(router.traits.find(['a', requestTrait('sound')]), undefined)
+  })
+
+  it('leave out requests that a target broke off when another one crashed it', () => {
+    const [router] = startRouters(1, now)
+    assert.ok(router)
+    const request = requestTrait('bad')
+    for (let i = 0; i < 3; i += 1) {
+      crash(router, ['a', request])
+      // The target breaks off this request too.
+      attempts -= 1
+      crash(router, ['a', requestTrait(`sound-${i}`)], `sound-${i}`)
+    }
+    for (let i = 0; i < 3; i += 1) {
+      const sound = ['a', requestTrait(`sound-${i}`)]
+      assert.equal(router.traits.find(sound), undefined)
+    }
+    assert.equal(router.traits.find(['a', request])?.trait, request)
+  })
+
   it('are found whatever else their requests have', () => {
     const [router] = startRouters(1, now)
     assert.ok(router)
--- a/packages/router/src/node/crashes/createHarmfulTraitStorage.ts
+++ b/packages/router/src/node/crashes/createHarmfulTraitStorage.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises'
+import { isDeepStrictEqual } from 'node:util'
 import type { SharedRecords } from '../peers/createSharedRecords.js'
 import { RecordKind } from '../peers/sharedRecord.js'
 import type { LogRestores } from '../sources/createLogRestores.js'
@@ -95,8 +96,7 @@
 
   return {
     save({ trait, common, lastCrashAtMs }) {
-      // The common traits only become fewer.
-      if (saved.get(trait)?.common.length === common.length) return
+      if (isDeepStrictEqual(saved.get(trait)?.common, common)) return
       const untilMs = Date.now() + lastCrashAtMs + lifetimeMs - now()
       saved.set(trait, { common, untilMs })
       unwritten.set(trait, saved.get(trait))
--- a/packages/router/src/node/crashes/createHarmfulTraits.ts
+++ b/packages/router/src/node/crashes/createHarmfulTraits.ts
@@ -5,6 +5,7 @@
 import { RecordKind } from '../peers/sharedRecord.js'
 import { findSuspectTraits, type SuspectTrait } from './findSuspectTraits.js'
 import type { HarmfulTrait } from './harmfulTrait.js'
+import { fingerprintOfTrait, isRequestTrait } from './requestTrait.js'
 import { decodeCrash, encodeCrash, type TargetCrash } from './targetCrash.js'
 
 /** Options for {@link createHarmfulTraits}. */
@@ -21,11 +22,11 @@
   readonly now: () => number
 }
 
-/** Finds the traits of requests that crash the targets which answer them. */
+/** Finds the prompt parts and the requests that crash the targets which run them. */
 export interface HarmfulTraits {
-  /** Records that a target broke off as it began to answer a request. */
+  /** Records that a target broke off as it began to run a request. */
   recordCrash(attemptId: string, crash: TargetCrash): void
-  /** Records that a request with these shared traits was answered completely. */
+  /** Records that a request with these traits was answered completely. */
   recordAnswered(traits: readonly string[]): void
   /** Returns the harmful trait for which a request is refused; undefined if there is none. */
   find(traits: readonly string[]): HarmfulTrait | undefined
@@ -39,14 +40,14 @@
 const MIN_DISPUTED_CRASHES = MIN_CRASHES - 1
 /** Answered traits that are remembered, at about 100 bytes each. */
 const MAX_ANSWERED = 10_000
-/** Parts of requests under which targets crashed here that are remembered. */
+/** Traits of requests under which targets crashed here that are remembered. */
 const MAX_CRASHED = 1_000
 /** A trait answered within this time, in milliseconds, needs no report. */
 const RECENT_ANSWER_MS = 5_000
-/** Parts of one request that are considered, the most specific ones. */
-const MAX_PARTS = 32
-/** Longest id of a trait that is considered, in characters. */
-const MAX_PART_LENGTH = 64
+/** Traits of one request that are considered, the most specific ones. */
+const MAX_TRAITS = 32
+/** Longest trait that is considered, in characters. */
+const MAX_TRAIT_LENGTH = 64
 const MS_PER_S = 1_000
 /** Kinds of records that show which traits are harmful. */
 const KINDS = [
@@ -57,8 +58,19 @@
 
 function considered(traits: readonly string[]): string[] {
   return traits
-    .filter(({ length }) => length <= MAX_PART_LENGTH)
-    .slice(-MAX_PARTS)
+    .filter(({ length }) => length <= MAX_TRAIT_LENGTH)
+    .slice(-MAX_TRAITS)
+}
+
+/** Returns what a request must have to be refused; undefined if the crashes don't show its trait to be harmful. */
+function refusedTraits(
+  trait: string,
+  { crashes, common }: SuspectTrait,
+): readonly string[] | undefined {
+  if (crashes < MIN_CRASHES) return undefined
+  if (isRequestTrait(trait)) return common
+  // One request explains all crashes, so others with the prompt part may be sound.
+  return common.some(isRequestTrait) ? undefined : common
 }
 
 /** Creates a finder without suspect traits. */
@@ -92,12 +104,28 @@
       if (lastCrashAtMs > (answers.get(trait) ?? -Infinity))
         found.set(trait, { trait, common, lastCrashAtMs })
     }
-    for (const [trait, { crashes, common, lastCrashAtMs }] of suspects)
-      if (crashes >= MIN_CRASHES)
-        found.set(trait, { trait, common, lastCrashAtMs })
+    for (const [trait, suspect] of suspects) {
+      const common = refusedTraits(trait, suspect)
+      const { lastCrashAtMs } = suspect
+      if (common) found.set(trait, { trait, common, lastCrashAtMs })
+    }
     return found
   }
 
+  function logBlocked({ trait, common }: HarmfulTrait): void {
+    const fingerprint = fingerprintOfTrait(trait)
+    if (fingerprint !== undefined)
+      log.write(LogEvent.RequestBlocked, { fingerprint })
+    else log.write(LogEvent.PartBlocked, { part: trait, common: common.join() })
+  }
+
+  function logAllowed(trait: string): void {
+    const fingerprint = fingerprintOfTrait(trait)
+    if (fingerprint !== undefined)
+      log.write(LogEvent.RequestAllowed, { fingerprint })
+    else log.write(LogEvent.PartAllowed, { part: trait })
+  }
+
   function update(): void {
     const answers = answersOfFleet()
     suspects = findSuspectTraits(
@@ -107,15 +135,11 @@
     const before = harmful
     harmful = findHarmful(answers)
     for (const [trait, found] of harmful) {
-      if (!before.has(trait))
-        log.write(LogEvent.PartBlocked, {
-          part: trait,
-          common: found.common.join(),
-        })
+      if (!before.has(trait)) logBlocked(found)
       if (crashedHere.has(trait)) options.onFound(found)
     }
     for (const trait of before.keys())
-      if (!harmful.has(trait)) log.write(LogEvent.PartAllowed, { part: trait })
+      if (!harmful.has(trait)) logAllowed(trait)
     // Routers that saw no answer count the crashes before it.
     for (const [trait, { crashes, firstCrashAtMs }] of suspects) {
       const answeredAtMs = answeredHereAtMs.get(trait) ?? -Infinity
--- a/packages/router/src/node/crashes/findSuspectTraits.ts
+++ b/packages/router/src/node/crashes/findSuspectTraits.ts
@@ -3,11 +3,38 @@
 /** A trait of requests under which targets crashed. */
 export interface SuspectTrait {
   /** Crashes of different targets, each under a request sent after the one before. */
-  crashes: number
-  /** Parts that all requests under which they crashed had. */
-  common: readonly string[]
+  readonly crashes: number
+  /** Traits with which every one of these crashes can be explained as well. */
+  readonly common: readonly string[]
+  readonly firstCrashAtMs: number
+  readonly lastCrashAtMs: number
+}
+
+/** Crashes under requests with one trait, in order. */
+interface CrashSeries {
   readonly firstCrashAtMs: number
   lastCrashAtMs: number
+  /** Traits of the requests with the trait that each target broke off when it crashed. */
+  readonly traitsByTarget: Map<string, Set<string>>
+}
+
+function commonOf({ traitsByTarget }: CrashSeries): string[] {
+  const [first = new Set<string>(), ...others] = traitsByTarget.values()
+  return [...first].filter((trait) => others.every((set) => set.has(trait)))
+}
+
+function addCrash(
+  series: CrashSeries,
+  { target, sentAtMs, crashedAtMs, traits }: TargetCrash,
+): void {
+  const known = series.traitsByTarget.get(target)
+  if (known) {
+    for (const trait of traits) known.add(trait)
+    return
+  }
+  if (sentAtMs < series.lastCrashAtMs) return
+  series.traitsByTarget.set(target, new Set(traits))
+  series.lastCrashAtMs = crashedAtMs
 }
 
 /**
@@ -19,30 +46,29 @@
   crashes: readonly TargetCrash[],
   answeredAtMs: (trait: string) => number,
 ): Map<string, SuspectTrait> {
-  const suspects = new Map<string, SuspectTrait>()
-  const crashedTargets = new Map<string, Set<string>>()
+  const seriesByTrait = new Map<string, CrashSeries>()
   const inOrder = crashes.toSorted((a, b) => a.crashedAtMs - b.crashedAtMs)
-  for (const { target, sentAtMs, crashedAtMs, traits } of inOrder) {
+  for (const crash of inOrder) {
+    const { target, crashedAtMs, traits } = crash
     for (const trait of traits) {
       if (crashedAtMs <= answeredAtMs(trait)) continue
-      const suspect = suspects.get(trait)
-      const targets = crashedTargets.get(trait)
-      if (!suspect || !targets) {
-        crashedTargets.set(trait, new Set([target]))
-        suspects.set(trait, {
-          crashes: 1,
-          common: traits,
+      const series = seriesByTrait.get(trait)
+      if (series) addCrash(series, crash)
+      else
+        seriesByTrait.set(trait, {
           firstCrashAtMs: crashedAtMs,
           lastCrashAtMs: crashedAtMs,
+          traitsByTarget: new Map([[target, new Set(traits)]]),
         })
-        continue
-      }
-      suspect.common = suspect.common.filter((other) => traits.includes(other))
-      if (targets.has(target) || sentAtMs < suspect.lastCrashAtMs) continue
-      targets.add(target)
-      suspect.crashes += 1
-      suspect.lastCrashAtMs = crashedAtMs
     }
   }
+  const suspects = new Map<string, SuspectTrait>()
+  for (const [trait, series] of seriesByTrait)
+    suspects.set(trait, {
+      crashes: series.traitsByTarget.size,
+      common: commonOf(series),
+      firstCrashAtMs: series.firstCrashAtMs,
+      lastCrashAtMs: series.lastCrashAtMs,
+    })
   return suspects
 }
--- a/packages/router/src/node/crashes/targetCrash.ts
+++ b/packages/router/src/node/crashes/targetCrash.ts
@@ -1,13 +1,13 @@
 import type { SharedRecord } from '../peers/sharedRecord.js'
 
-/** A target that broke off as it began to answer a request. */
+/** A target that broke off as it began to run a request. */
 export interface TargetCrash {
   /** Incarnation of the target. */
   readonly target: string
   /** Times on the monotonic clock, in milliseconds. */
   readonly sentAtMs: number
   readonly crashedAtMs: number
-  /** What the request has in common with others: its shared prompt parts. */
+  /** What the request has in common with others: shared prompt parts, and what its attempts alone share. */
   readonly traits: readonly string[]
 }
 
--- a/packages/router/src/node/logging/logEvent.ts
+++ b/packages/router/src/node/logging/logEvent.ts
@@ -22,6 +22,8 @@
   EntryRejected = 'entry-rejected',
   PartBlocked = 'part-blocked',
   PartAllowed = 'part-allowed',
+  RequestBlocked = 'request-blocked',
+  RequestAllowed = 'request-allowed',
   PeerFound = 'peer-found',
   PeerLost = 'peer-lost',
   PeerFailed = 'peer-failed',
