Handle requests apart from the server that accepts them

No behaviour changes. createCallerServer keeps the connections, createRequestHandler the requests, so that requests may come from another server too.

--- /dev/null
+++ b/packages/router/src/node/callers/createRequestHandler.ts
@@ -0,0 +1,195 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { Verdict } from '@auburnbay/core/verdict/verdict'
+import type { RequestFailure } from '@auburnbay/core/verdict/requestFailure'
+import { BodyError, readBody } from '@auburnbay/http-utils/readBody'
+import { err } from 'neverthrow'
+import type { ConfigurationStore } from '../configuration/createConfigurationStore.js'
+import type { DecisionLog } from '../logging/decisionLog.js'
+import { LogEvent } from '../logging/logEvent.js'
+import type { RouterMetrics } from '../metrics/routerMetrics.js'
+import type { ResumableStreams } from '../streams/createResumableStreams.js'
+import { affinityKey } from '../routing/affinityKey.js'
+import { type AdmittedRequest, admitRequest } from './admitRequest.js'
+import { admitResumption } from './admitResumption.js'
+import type { Call } from './call.js'
+import type { CallerProtocol } from './callerProtocol.js'
+import type { CallerRequest } from './callerRequest.js'
+import type { Dispatcher } from './createDispatcher.js'
+import { failures } from './failures.js'
+import { sendFailure } from './sendFailure.js'
+import { startingRetryAfterS } from './startingRetryAfterS.js'
+
+/** Body limit until a configuration is loaded, in bytes. */
+const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
+
+/** Options for {@link createRequestHandler}. */
+export interface RequestHandlerOptions {
+  readonly configurationStore: ConfigurationStore
+  readonly protocol: CallerProtocol
+  readonly dispatcher: Dispatcher
+  readonly streams: ResumableStreams
+  readonly log: DecisionLog
+  readonly metrics: RouterMetrics
+  /** Milliseconds since the source of configurations became unavailable; 0 while it is available. */
+  readonly sourceOutageMs: () => number
+  /** Upper bound on the staleness of the target list, in milliseconds. */
+  readonly targetsAgeMs: () => number
+  /** Monotonic clock, in milliseconds. */
+  readonly now: () => number
+}
+
+/** Handles the requests of callers. */
+export interface RequestHandler {
+  /** Number of requests in flight. */
+  readonly inFlight: number
+  handle(req: IncomingMessage, res: ServerResponse): void
+  /** Closes each connection after its current or next response. */
+  disableKeepAlive(): void
+  /** Refuses further requests as not run. */
+  refuseRequests(): void
+}
+
+/** Creates a handler. */
+export function createRequestHandler(
+  options: RequestHandlerOptions,
+): RequestHandler {
+  const { configurationStore, protocol, dispatcher, log, metrics, now } =
+    options
+  let inFlight = 0
+  let keepAliveDisabled = false
+  let isRefusing = false
+
+  function refuse(
+    res: ServerResponse,
+    { attemptId, resumedAttemptId }: CallerRequest,
+    failure: RequestFailure,
+  ): void {
+    log.write(LogEvent.RequestRefused, {
+      request: attemptId,
+      resumedAttempt: resumedAttemptId,
+      status: failure.status,
+      code: failure.code,
+      verdict: failure.verdict,
+      version: configurationStore.version,
+    })
+    sendFailure(res, failure)
+  }
+
+  async function forward(
+    admitted: AdmittedRequest,
+    body: Buffer,
+    res: ServerResponse,
+  ) {
+    const { request, route } = admitted
+    const startedAtMs = now()
+    const limitMs = Math.min(route.timeoutMs, request.deadlineMs ?? Infinity)
+    const aborter = new AbortController()
+    const timer = setTimeout(() => {
+      aborter.abort()
+    }, limitMs)
+    res.once('close', () => {
+      aborter.abort()
+    })
+    const call: Call = {
+      ...admitted,
+      body,
+      signal: aborter.signal,
+      deadlineAtMs: startedAtMs + limitMs,
+    }
+    const outcome = await dispatcher.dispatch(call, res)
+    const { failure, sends, placement } = outcome
+    clearTimeout(timer)
+    const callerGone = res.closed && !res.writableFinished
+    if (failure && !callerGone) sendFailure(res, failure)
+    const status = failure?.status ?? res.statusCode
+    const elapsedMs = now() - startedAtMs
+    metrics.recordRequest(
+      route.name,
+      callerGone ? 0 : status,
+      elapsedMs / 1_000,
+    )
+    log.write(LogEvent.RequestEnded, {
+      request: request.attemptId,
+      route: route.name,
+      service: admitted.service,
+      customer: admitted.customer?.name,
+      version: configurationStore.version,
+      targetsAgeMs: Math.round(options.targetsAgeMs()),
+      resumedAttempt: request.resumedAttemptId,
+      target: placement?.target.id,
+      targetVersion: placement?.target.softwareVersion,
+      placed: placement?.reason,
+      prompt: affinityKey(request.promptParts),
+      prefillTokens: placement?.prefillTokens,
+      fetchFrom: placement?.fetchFrom?.id,
+      sends,
+      status,
+      callerGone,
+      verdict: failure?.verdict ?? Verdict.Ran,
+      code: failure?.code,
+      ms: Math.round(elapsedMs),
+    })
+  }
+
+  async function handleRequest(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const request = protocol.decodeRequest(req)
+    const limits = configurationStore.current?.configuration.limits
+    const maxBytes = limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES
+    const body = await readBody(req, maxBytes)
+    if (body.isErr()) {
+      if (body.error === BodyError.Aborted) return
+      res.shouldKeepAlive = false
+      refuse(res, request, failures.bodyTooLarge)
+      return
+    }
+    if (keepAliveDisabled) res.shouldKeepAlive = false
+    const active = configurationStore.current
+    const admitted = active
+      ? admitRequest(req, request, active).andThen((value) =>
+          admitResumption(value, options.streams),
+        )
+      : err({
+          ...failures.starting,
+          retryAfterS: startingRetryAfterS(
+            options.sourceOutageMs(),
+            request.attemptId,
+          ),
+        })
+    if (isRefusing) {
+      refuse(res, request, failures.stopping)
+      return
+    }
+    if (admitted.isErr()) {
+      refuse(res, request, admitted.error)
+      return
+    }
+    await forward(admitted.value, body.value, res)
+  }
+
+  return {
+    get inFlight() {
+      return inFlight
+    },
+    handle(req, res) {
+      inFlight += 1
+      res.once('close', () => {
+        inFlight -= 1
+      })
+      handleRequest(req, res).catch((error: unknown) => {
+        log.write(LogEvent.RequestEnded, {
+          reason: error instanceof Error ? error.stack : String(error),
+        })
+        res.destroy()
+      })
+    },
+    disableKeepAlive() {
+      keepAliveDisabled = true
+    },
+    refuseRequests() {
+      isRefusing = true
+    },
+  }
+}
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -2,6 +2,7 @@
 import { formatAddress } from '@auburnbay/http-utils/listen'
 import { createCallPath } from './callers/createCallPath.js'
 import { createCallerServer } from './callers/createCallerServer.js'
+import { createRequestHandler } from './callers/createRequestHandler.js'
 import { createConfigurationActivator } from './configuration/createConfigurationActivator.js'
 import { createConfigurationStore } from './configuration/createConfigurationStore.js'
 import * as constants from './constants.js'
@@ -163,8 +164,7 @@
     metrics,
     now,
   })
-  const callers = await createCallerServer({
-    address: settings.listen.callers,
+  const handler = createRequestHandler({
     configurationStore,
     protocol: ports.callerProtocol,
     dispatcher: callPath.dispatcher,
@@ -175,6 +175,11 @@
     sourceOutageMs: () => configurations.outageMs(),
     now,
   })
+  const callers = await createCallerServer({
+    address: settings.listen.callers,
+    configurationStore,
+    handler,
+  })
 
   const statusServers = await createStatusServers(
     settings.listen,
@@ -189,6 +194,7 @@
 
   const stop = createGracefulStop({
     callers,
+    handler,
     gracePeriodMs: () => settings.bounds.gracePeriodS * 1_000,
     onStopping: () => {
       stopping = true
--- a/packages/router/src/node/stopping/createGracefulStop.ts
+++ b/packages/router/src/node/stopping/createGracefulStop.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { CallerServer } from '../callers/createCallerServer.js'
+import type { RequestHandler } from '../callers/createRequestHandler.js'
 import {
   LOAD_BALANCER_DELAY_MS,
   STOP_CHECK_MS,
@@ -11,6 +12,7 @@
 /** Options for {@link createGracefulStop}. */
 export interface GracefulStopOptions {
   readonly callers: CallerServer
+  readonly handler: RequestHandler
   /** Returns the milliseconds until the process is killed. */
   readonly gracePeriodMs: () => number
   /** Called first; the load balancer and the peers must learn of the stop. */
@@ -26,23 +28,24 @@
 export function createGracefulStop(
   options: GracefulStopOptions,
 ): () => Promise<void> {
-  const { callers, log, now } = options
+  const { callers, handler, log, now } = options
 
   async function waitForRequests(untilMs: number): Promise<void> {
-    while (callers.inFlight > 0 && now() < untilMs) await sleep(STOP_CHECK_MS)
+    while (handler.inFlight > 0 && now() < untilMs) await sleep(STOP_CHECK_MS)
   }
 
   async function stopOnce(): Promise<void> {
     const startedAtMs = now()
-    log.write(LogEvent.Stopping, { inFlight: callers.inFlight })
-    callers.disableKeepAlive()
+    log.write(LogEvent.Stopping, { inFlight: handler.inFlight })
+    handler.disableKeepAlive()
     options.onStopping()
     const gracePeriodMs = options.gracePeriodMs()
     const endMs = startedAtMs + gracePeriodMs - STOP_MARGIN_MS
     await sleep(Math.min(LOAD_BALANCER_DELAY_MS, gracePeriodMs / 2))
-    callers.stopAccepting()
+    handler.refuseRequests()
+    callers.stopListening()
     await waitForRequests(endMs)
-    log.write(LogEvent.Stopped, { brokenOff: callers.inFlight })
+    log.write(LogEvent.Stopped, { brokenOff: handler.inFlight })
     callers.close()
     await options.close()
   }
