Relay requests through a peer while a router reaches no target

Cause: a router has no way to a target but its own connections, and does not know that it, and not the targets, is cut off. Its tries use up its retry budget. Class: a fault of this router's links is taken for a fault of each target. Evidence: unreachable for every target on cut routers, for none on the others; in partitionedRouters.test requests fail also with ten retries for each. Change: a router that cannot connect to any of five targets, after two were unreachable or all in use were silent for 0.5 s, counts itself as cut off. It says so in its digests, which otherwise have the time since a target responded. It sends requests through a peer that reached a target within 3 s and has its configuration or a newer one, one hop, with the remaining time and the sends that may have run. The peer decides on the target, retries, limits and refusals; its verdict comes back. A caller that disconnects ends the request at the target. Every 0.5 s the router tries to connect again. Weighed: readiness of 503, which moves no open connection, takes seconds, and has no effect where most of a data centre is cut off: then all its routers get callers. The check of peers that reach no target either now looks at the request after they have noticed; before the relay it could not fail. Why it works: dead targets are dead for the peers too, which then have no recent response, so nothing is relayed. A connect that failed has run nothing, so its first send through a peer is no retry.

--- a/packages/measure/src/node/placing/measureDigests.ts
+++ b/packages/measure/src/node/placing/measureDigests.ts
@@ -43,6 +43,7 @@
     streams: [['v1.1', ...streamKeys]],
     records: [],
     recordsFingerprint: 4_000_000_000,
+    targetResponseMs: 40,
   })
   return digest.length + HEADER_BYTES
 }
--- a/packages/router/src/node/callers/call.ts
+++ b/packages/router/src/node/callers/call.ts
@@ -1,5 +1,6 @@
 import type { Customer } from '../configuration/customer.js'
 import type { Route } from '../configuration/route.js'
+import type { RelayedRequest } from '../peers/relayedRequest.js'
 import type { CallerRequest } from './callerRequest.js'
 
 /** An admitted request while it is being forwarded to targets. */
@@ -19,6 +20,8 @@
   readonly softwareVersion?: string
   /** Deadline of the final response on the monotonic clock, in milliseconds. */
   readonly deadlineAtMs: number
+  /** Set if a peer relays the request, which must not be relayed again. */
+  readonly relayed?: RelayedRequest
   /** Aborted when the caller disconnects or the deadline passes. */
   readonly signal: AbortSignal
 }
--- a/packages/router/src/node/callers/callProgress.ts
+++ b/packages/router/src/node/callers/callProgress.ts
@@ -20,6 +20,10 @@
   readonly traits: readonly string[]
   /** Ids of the targets that the call was sent to. */
   readonly tried: Set<string>
+  /** Routers that the call was relayed to. */
+  readonly triedPeers: Set<string>
+  /** Failure that a peer reported. */
+  peerFailure?: RequestFailure
   /** Software version that began the stream, once the caller has an event of it. */
   softwareVersion?: string
   /** Sends that a target ran or may have run. */
@@ -46,7 +50,8 @@
     traits: requestTraits(call),
     ...(softwareVersion !== undefined && { softwareVersion }),
     tried: new Set(),
-    possibleRuns: 0,
+    triedPeers: new Set(),
+    possibleRuns: call.relayed?.possibleRuns ?? 0,
     sends: 0,
     sentAtMs: -Infinity,
     verdict: Verdict.NotRun,
@@ -80,6 +85,8 @@
   progress: CallProgress,
   nowMs: number,
 ): RequestFailure {
+  const { peerFailure } = progress
+  if (peerFailure?.verdict === progress.verdict) return peerFailure
   if (progress.verdict === Verdict.NotRun) {
     if (call.deadlineAtMs - nowMs < MIN_REMAINING_MS)
       return failures.deadlinePassed
--- a/packages/router/src/node/callers/createCallPath.ts
+++ b/packages/router/src/node/callers/createCallPath.ts
@@ -5,6 +5,8 @@
 import type { DecisionLog } from '../logging/decisionLog.js'
 import type { RouterMetrics } from '../metrics/routerMetrics.js'
 import type { FleetSize } from '../peers/createFleetSize.js'
+import { createPeerRelay } from '../peers/createPeerRelay.js'
+import type { Peer } from '../peers/createPeerTable.js'
 import type { SharedRecords } from '../peers/createSharedRecords.js'
 import type { HarmfulTraits } from '../crashes/createHarmfulTraits.js'
 import type { RoutingState } from '../routing/createRoutingState.js'
@@ -24,6 +26,8 @@
   readonly streams: ResumableStreams
   readonly records: SharedRecords
   readonly fleetSize: FleetSize
+  /** Returns the peers that reach targets and know this router's configuration. */
+  readonly peersWithTargets: () => readonly Peer[]
   readonly harmfulTraits: HarmfulTraits
   /** Whether a service's targets fetch cached prompts from each other. */
   readonly sharesCache: (service: string) => boolean
@@ -40,7 +44,7 @@
 /** The path of a call to its targets. */
 export interface CallPath {
   readonly dispatcher: Dispatcher
-  /** Closes the connections to targets. */
+  /** Closes the connections to targets and peers. */
   close(): void
 }
 
@@ -60,11 +64,13 @@
       limits.observe(target, head)
     },
   })
+  const peerRelay = createPeerRelay()
   return {
     dispatcher: createDispatcher({
       ...options,
       ...routingState,
       client,
+      peerRelay,
       selector: createTargetSelector({ ...options, ...routingState, limits }),
       retryBudgetFor: createRetryBudgets({
         bounds: () => retryBoundsOf(settings()),
@@ -74,6 +80,7 @@
     }),
     close() {
       client.close()
+      peerRelay.close()
     },
   }
 }
--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -1,12 +1,15 @@
 import type { ServerResponse } from 'node:http'
 import type { RequestFailure } from '@auburnbay/core/verdict/requestFailure'
 import { Verdict } from '@auburnbay/core/verdict/verdict'
+import type { Reachability } from '../health/createReachability.js'
 import type { StallDetector } from '../health/createStallDetector.js'
 import type { TargetHealth } from '../health/createTargetHealth.js'
 import type { RetryBudget } from '../limits/createRetryBudget.js'
 import type { DecisionLog } from '../logging/decisionLog.js'
 import type { RouterMetrics } from '../metrics/routerMetrics.js'
 import type { HarmfulTraits } from '../crashes/createHarmfulTraits.js'
+import type { PeerRelay } from '../peers/createPeerRelay.js'
+import type { Peer } from '../peers/createPeerTable.js'
 import type { FleetLoad } from '../routing/createFleetLoad.js'
 import type { TargetSelector } from '../routing/createTargetSelector.js'
 import type { TargetClient } from '../targets/createTargetClient.js'
@@ -21,6 +24,7 @@
 import { createCrashReporter } from './createCrashReporter.js'
 import { createFailureHandler } from './createFailureHandler.js'
 import { createNotRunExplainer } from './createNotRunExplainer.js'
+import { createPeerSender } from './createPeerSender.js'
 import { createResponseHandler } from './createResponseHandler.js'
 import { createResponseRelay } from './createResponseRelay.js'
 import { createRetryCharger } from './createRetryCharger.js'
@@ -40,6 +44,10 @@
   readonly health: TargetHealth
   readonly stallDetector: StallDetector
   readonly client: TargetClient
+  readonly reachability: Reachability
+  readonly peerRelay: PeerRelay
+  /** Returns the peers that reach targets and know this router's configuration. */
+  readonly peersWithTargets: () => readonly Peer[]
   readonly protocol: TargetProtocol
   readonly harmfulTraits: HarmfulTraits
   readonly retryBudgetFor: (service: string) => RetryBudget
@@ -70,23 +78,46 @@
       retryCharger,
     }),
   })
+  const peerSender = createPeerSender(options)
   const explainNotRun = createNotRunExplainer(options)
 
   function failureOf(call: Call, progress: CallProgress): RequestFailure {
     const failure = resolveFailure(call, progress, now())
     const mayExplain =
-      progress.verdict === Verdict.NotRun && failure !== failures.deadlinePassed
+      progress.verdict === Verdict.NotRun &&
+      progress.peerFailure === undefined &&
+      failure !== failures.deadlinePassed
     if (!mayExplain) return failure
     return explainNotRun(call, progress) ?? failure
   }
 
+  /** Sends a call through a peer, or to a target; nothing follows if there is neither. */
+  async function sendOnce(
+    call: Call,
+    progress: CallProgress,
+  ): Promise<NextStep> {
+    const peer = peerSender.findPeer(call, progress)
+    if (peer) return peerSender.send(call, peer, progress)
+    const placement = selector.select(call, progress)
+    return placement ? sendTo(call, placement, progress) : NextStep.Done
+  }
+
+  function mayRetry(call: Call, progress: CallProgress): boolean {
+    const { lastCause = 'unknown', possibleRuns, sends } = progress
+    // No target has got the call, so its first send by a peer is no repetition.
+    if (possibleRuns === 0 && peerSender.findPeer(call, progress)) return true
+    return retryCharger.tryCharge(call, sends, lastCause)
+  }
+
   async function dispatch(
     call: Call,
     res: ServerResponse,
   ): Promise<DispatchOutcome> {
     const relay = createResponseRelay(call, res, options.protocol)
     const progress = createCallProgress(relay, call)
-    options.retryBudgetFor(call.service).recordFirstAttempt(now())
+    // The peer that relays a request has counted it.
+    if (!call.relayed)
+      options.retryBudgetFor(call.service).recordFirstAttempt(now())
     await waitForCacheLocation(call, {
       isLocated: (located) => selector.isLocated(located),
       recoveryMs: options.recoveryMs,
@@ -96,16 +127,9 @@
       if (call.deadlineAtMs - now() < MIN_REMAINING_MS) break
       progress.harmfulTrait = harmfulTraits.find(progress.traits)
       if (progress.harmfulTrait) break
-      const placement = selector.select(call, progress)
-      if (!placement) break
-      const next = await sendTo(call, placement, progress)
+      const next = await sendOnce(call, progress)
       if (next === NextStep.Done) break
-      const cause = progress.lastCause ?? 'unknown'
-      if (
-        next === NextStep.Retry &&
-        !retryCharger.tryCharge(call, progress.sends, cause)
-      )
-        break
+      if (next === NextStep.Retry && !mayRetry(call, progress)) break
     }
     const { sends, placement } = progress
     return {
--- a/packages/router/src/node/callers/createRequestHandler.ts
+++ b/packages/router/src/node/callers/createRequestHandler.ts
@@ -7,6 +7,7 @@
 import type { DecisionLog } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
 import type { RouterMetrics } from '../metrics/routerMetrics.js'
+import type { RelayedRequest } from '../peers/relayedRequest.js'
 import type { ResumableStreams } from '../streams/createResumableStreams.js'
 import { affinityKey } from '../routing/affinityKey.js'
 import { type AdmittedRequest, admitRequest } from './admitRequest.js'
@@ -42,7 +43,12 @@
 export interface RequestHandler {
   /** Number of requests in flight. */
   readonly inFlight: number
-  handle(req: IncomingMessage, res: ServerResponse): void
+  /** Handles a request of a caller, or one that a peer relays. */
+  handle(
+    req: IncomingMessage,
+    res: ServerResponse,
+    relayed?: RelayedRequest,
+  ): void
   /** Closes each connection after its current or next response. */
   disableKeepAlive(): void
   /** Refuses further requests as not run. */
@@ -63,6 +69,7 @@
     res: ServerResponse,
     { attemptId, resumedAttemptId }: CallerRequest,
     failure: RequestFailure,
+    isRelayed: boolean,
   ): void {
     log.write(LogEvent.RequestRefused, {
       request: attemptId,
@@ -72,7 +79,7 @@
       verdict: failure.verdict,
       version: configurationStore.version,
     })
-    sendFailure(res, failure)
+    sendFailure(res, failure, isRelayed)
   }
 
   async function forward(
@@ -82,7 +89,10 @@
   ) {
     const { request, route } = admitted
     const startedAtMs = now()
-    const limitMs = Math.min(route.timeoutMs, request.deadlineMs ?? Infinity)
+    const limitMs = Math.min(
+      route.timeoutMs,
+      admitted.relayed?.remainingMs ?? request.deadlineMs ?? Infinity,
+    )
     const aborter = new AbortController()
     const timer = setTimeout(() => {
       aborter.abort()
@@ -100,7 +110,8 @@
     const { failure, sends, placement } = outcome
     clearTimeout(timer)
     const callerGone = res.closed && !res.writableFinished
-    if (failure && !callerGone) sendFailure(res, failure)
+    if (failure && !callerGone)
+      sendFailure(res, failure, admitted.relayed !== undefined)
     const status = failure?.status ?? res.statusCode
     const elapsedMs = now() - startedAtMs
     metrics.recordRequest(
@@ -123,6 +134,7 @@
       prefillTokens: placement?.prefillTokens,
       fetchFrom: placement?.fetchFrom?.id,
       sends,
+      relayed: admitted.relayed !== undefined,
       status,
       callerGone,
       verdict: failure?.verdict ?? Verdict.Ran,
@@ -134,15 +146,17 @@
   async function handleRequest(
     req: IncomingMessage,
     res: ServerResponse,
+    relayed: RelayedRequest | undefined,
   ): Promise<void> {
     const request = protocol.decodeRequest(req)
+    const isRelayed = relayed !== undefined
     const limits = configurationStore.current?.configuration.limits
     const maxBytes = limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES
     const body = await readBody(req, maxBytes)
     if (body.isErr()) {
       if (body.error === BodyError.Aborted) return
       res.shouldKeepAlive = false
-      refuse(res, request, failures.bodyTooLarge)
+      refuse(res, request, failures.bodyTooLarge, isRelayed)
       return
     }
     if (keepAliveDisabled) res.shouldKeepAlive = false
@@ -159,26 +173,30 @@
           ),
         })
     if (isRefusing) {
-      refuse(res, request, failures.stopping)
+      refuse(res, request, failures.stopping, isRelayed)
       return
     }
     if (admitted.isErr()) {
-      refuse(res, request, admitted.error)
+      refuse(res, request, admitted.error, isRelayed)
       return
     }
-    await forward(admitted.value, body.value, res)
+    await forward(
+      { ...admitted.value, ...(relayed && { relayed }) },
+      body.value,
+      res,
+    )
   }
 
   return {
     get inFlight() {
       return inFlight
     },
-    handle(req, res) {
+    handle(req, res, relayed) {
       inFlight += 1
       res.once('close', () => {
         inFlight -= 1
       })
-      handleRequest(req, res).catch((error: unknown) => {
+      handleRequest(req, res, relayed).catch((error: unknown) => {
         log.write(LogEvent.RequestEnded, {
           reason: error instanceof Error ? error.stack : String(error),
         })
--- a/packages/router/src/node/callers/createTargetSender.ts
+++ b/packages/router/src/node/callers/createTargetSender.ts
@@ -1,4 +1,5 @@
 import { Verdict } from '@auburnbay/core/verdict/verdict'
+import type { Reachability } from '../health/createReachability.js'
 import type { StallDetector } from '../health/createStallDetector.js'
 import { createHeaderTimeout } from '../limits/createHeaderTimeout.js'
 import type { RouterMetrics } from '../metrics/routerMetrics.js'
@@ -6,6 +7,7 @@
 import type { TargetSelector } from '../routing/createTargetSelector.js'
 import type { Placement } from '../routing/placement.js'
 import type { TargetClient } from '../targets/createTargetClient.js'
+import { TargetFailureCause } from '../targets/targetFailure.js'
 import type { Call } from './call.js'
 import { type CallProgress, canRetryAfterTimeout } from './callProgress.js'
 import type { FailureHandler } from './createFailureHandler.js'
@@ -20,6 +22,7 @@
   readonly load: FleetLoad
   readonly selector: TargetSelector
   readonly stallDetector: StallDetector
+  readonly reachability: Reachability
   readonly client: TargetClient
   readonly handleFailure: FailureHandler
   readonly handleResponse: ResponseHandler
@@ -37,7 +40,8 @@
 
 /** Creates a sender. */
 export function createTargetSender(options: TargetSenderOptions): TargetSender {
-  const { load, selector, stallDetector, client, metrics, now } = options
+  const { load, selector, stallDetector, reachability } = options
+  const { client, metrics, now } = options
   const headerTimeout = createHeaderTimeout()
 
   function headerTimeoutMs(
@@ -72,10 +76,13 @@
       )
       load.releasePromptTokens(target.id, prefillTokens)
       if (result.isErr()) {
+        if (result.error.cause === TargetFailureCause.Unreachable)
+          reachability.recordUnreachable(target.id)
         if (result.error.verdict === Verdict.NotRun)
           selector.recordNotRun(call, placement, result.error.cause)
         return options.handleFailure(call, target, progress, result.error)
       }
+      reachability.recordResponse()
       const headMs = now() - sentAtMs
       headerTimeout.recordHeaderTime(call.route.name, headMs)
       metrics.recordResponseHead(call.service, headMs / MS_PER_S)
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -2,7 +2,10 @@
 import { formatAddress } from '@auburnbay/http-utils/listen'
 import { createCallPath } from './callers/createCallPath.js'
 import { createCallerServer } from './callers/createCallerServer.js'
-import { createRequestHandler } from './callers/createRequestHandler.js'
+import {
+  createRequestHandler,
+  type RequestHandler,
+} from './callers/createRequestHandler.js'
 import { createConfigurationActivator } from './configuration/createConfigurationActivator.js'
 import { createConfigurationStore } from './configuration/createConfigurationStore.js'
 import * as constants from './constants.js'
@@ -48,16 +51,19 @@
   let stopping = false
   const now = (): number => performance.now()
   const incarnation = createIncarnation()
-  // Assigned below: components that broadcast to peers are created before the peers.
+  // Assigned below: components that broadcast to peers are created before the peers, which relay requests to the handler.
   const peers: { current?: Peers } = {}
+  const handlers: { current?: RequestHandler } = {}
   const configurationStore = createConfigurationStore()
   const livePeerCount = (): number => peers.current?.livePeers().length ?? 0
   const routingState = createRoutingState({
     drainMs: () => settings.bounds.drainMs,
     livePeerCount,
+    onReachabilityChange: () => peers.current?.broadcast(),
     log,
+    now,
   })
-  const { targetList, load, cacheLocations } = routingState
+  const { targetList, load, cacheLocations, reachability } = routingState
   const fleetSize = createFleetSize(settings.router.id)
   const records = createSharedRecords({
     origin: incarnation,
@@ -110,6 +116,11 @@
     fleetSize,
     streams,
     records,
+    reachability,
+    onRelayed: (req, res, relayed) => {
+      if (handlers.current) handlers.current.handle(req, res, relayed)
+      else res.destroy()
+    },
     directory: ports.directory,
     logRestores: ports.logRestores,
     isStopping: () => stopping,
@@ -154,6 +165,8 @@
     streams,
     records,
     fleetSize,
+    peersWithTargets: () =>
+      peers.current?.peersWithTargets(configurationStore.version) ?? [],
     harmfulTraits: harmfulTraitGuard.traits,
     sharesCache,
     onNewPrompt: () => {
@@ -175,6 +188,7 @@
     sourceOutageMs: () => configurations.outageMs(),
     now,
   })
+  handlers.current = handler
   const callers = await createCallerServer({
     address: settings.listen.callers,
     configurationStore,
@@ -202,6 +216,7 @@
     },
     close: async () => {
       stopWatchingPauses()
+      reachability.stop()
       cacheRecovery.stop()
       configurations.stop()
       targets.stop()
--- a/packages/router/src/node/health/createStallDetector.ts
+++ b/packages/router/src/node/health/createStallDetector.ts
@@ -6,6 +6,8 @@
   /** Records the end of a request, with or without a response. */
   recordEnd(targetId: string): void
   isStalled(targetId: string, nowMs: number): boolean
+  /** Returns the milliseconds for which all targets with requests in flight have sent nothing; 0 without requests. */
+  silentMs(nowMs: number): number
 }
 
 interface InFlight {
@@ -40,5 +42,11 @@
       const target = inFlight.get(targetId)
       return target !== undefined && nowMs - target.activeAtMs > timeoutMs
     },
+    silentMs(nowMs) {
+      let activeAtMs = -Infinity
+      for (const target of inFlight.values())
+        activeAtMs = Math.max(activeAtMs, target.activeAtMs)
+      return inFlight.size === 0 ? 0 : nowMs - activeAtMs
+    },
   }
 }
--- a/packages/router/src/node/peers/__tests__/testDigest.ts
+++ b/packages/router/src/node/peers/__tests__/testDigest.ts
@@ -19,6 +19,7 @@
     streams: [['v1', 7]],
     records: [['first', 1, 'crash', 'attempt', ['i-1', 'part'], 20]],
     recordsFingerprint: 5,
+    targetResponseMs: null,
     ...fields,
   }
 }
--- a/packages/router/src/node/peers/createDigestBuilder.ts
+++ b/packages/router/src/node/peers/createDigestBuilder.ts
@@ -1,3 +1,4 @@
+import type { Reachability } from '../health/createReachability.js'
 import type { CacheLocations } from '../routing/createCacheLocations.js'
 import type { FleetLoad } from '../routing/createFleetLoad.js'
 import type { LogRestores } from '../sources/createLogRestores.js'
@@ -20,6 +21,7 @@
   readonly cacheLocations: CacheLocations
   readonly streams: ResumableStreams
   readonly records: SharedRecords
+  readonly reachability: Reachability
   readonly logRestores: LogRestores
   readonly isStopping: () => boolean
   /** Monotonic clock, in milliseconds. */
@@ -34,7 +36,7 @@
   options: DigestBuilderOptions,
 ): (port: number, rounds: number) => PeerDigest {
   const { router, incarnation, state, load, logRestores, now } = options
-  const { cacheLocations, streams, records } = options
+  const { cacheLocations, streams, records, reachability } = options
   const locationUpdates = createPendingUpdates(() =>
     cacheLocations.takeUpdates(),
   )
@@ -63,6 +65,9 @@
         .takeUpdates()
         .map((record) => encodeRecord(record, now())),
       recordsFingerprint: records.fingerprint(),
+      targetResponseMs: reachability.isCutOff
+        ? null
+        : finiteOrNull(reachability.responseAgeMs()),
     }
   }
 }
--- a/packages/router/src/node/peers/createPeerStateServer.ts
+++ b/packages/router/src/node/peers/createPeerStateServer.ts
@@ -2,12 +2,18 @@
 import { listen } from '@auburnbay/http-utils/listen'
 import { sendJson } from '@auburnbay/http-utils/sendJson'
 import type { PeerAddress } from './peerAddress.js'
+import {
+  decodeRelayedRequest,
+  type RelayedRequestHandler,
+} from './relayedRequest.js'
 import {
   encodePeerState,
   type PeerState,
   type PeerStateQuery,
 } from './peerState.js'
 
+/** Maximum size of request headers in bytes, above that of a relayed request. */
+const MAX_HEADER_BYTES = 80 * 1024
 /** Path at which a router serves its state. */
 const STATE_PATH = '/state'
 
@@ -53,17 +59,26 @@
 export async function createPeerStateServer(
   address: PeerAddress,
   stateFor: (query: PeerStateQuery) => PeerState,
+  onRelayed: RelayedRequestHandler,
 ): Promise<PeerStateServer> {
-  const server = createServer((req, res) => {
-    const url = new URL(req.url ?? '/', 'http://peer')
-    if (url.pathname !== STATE_PATH) {
-      sendJson(res, 404, { error: `ask for ${STATE_PATH}` })
-      return
-    }
-    const body = encodePeerState(stateFor(parseQuery(url.searchParams)))
-    res.writeHead(200, { 'content-length': body.length })
-    res.end(body)
-  })
+  const server = createServer(
+    { maxHeaderSize: MAX_HEADER_BYTES },
+    (req, res) => {
+      const relayed = decodeRelayedRequest(req.headers)
+      if (relayed) {
+        onRelayed(req, res, relayed)
+        return
+      }
+      const url = new URL(req.url ?? '/', 'http://peer')
+      if (url.pathname !== STATE_PATH) {
+        sendJson(res, 404, { error: `ask for ${STATE_PATH}` })
+        return
+      }
+      const body = encodePeerState(stateFor(parseQuery(url.searchParams)))
+      res.writeHead(200, { 'content-length': body.length })
+      res.end(body)
+    },
+  )
   return {
     address: await listen(server, address),
     close() {
--- a/packages/router/src/node/peers/createPeers.ts
+++ b/packages/router/src/node/peers/createPeers.ts
@@ -4,6 +4,7 @@
 import type { RouterDirectory } from '../routerPorts.js'
 import type { LogRestores } from '../sources/createLogRestores.js'
 import type { FleetLoad } from '../routing/createFleetLoad.js'
+import type { Reachability } from '../health/createReachability.js'
 import type { CacheLocations } from '../routing/createCacheLocations.js'
 import type { RouterSettings } from '../settings/settingsSchema.js'
 import type { ResumableStreams } from '../streams/createResumableStreams.js'
@@ -20,7 +21,9 @@
 import type { PeerDigest } from './peerDigest.js'
 import { cacheLocationsOf } from './cacheLocationsOf.js'
 import { decodeLoad } from './digestLoad.js'
+import { findPeersWithTargets } from './findPeersWithTargets.js'
 import { hasFreshReader, type PollAge } from './hasFreshReader.js'
+import type { RelayedRequestHandler } from './relayedRequest.js'
 import type { RouterState } from './routerState.js'
 import { decodeRecord } from './sharedRecord.js'
 
@@ -36,6 +39,9 @@
   readonly fleetSize: FleetSize
   readonly streams: ResumableStreams
   readonly records: SharedRecords
+  readonly reachability: Reachability
+  /** Handles a request that a peer relays. */
+  readonly onRelayed: RelayedRequestHandler
   readonly directory: RouterDirectory
   readonly logRestores: LogRestores
   readonly isStopping: () => boolean
@@ -56,6 +62,8 @@
   listedRouters(): readonly string[] | undefined
   /** Returns the peers that are neither lost nor stopping. */
   livePeers(): readonly string[]
+  /** Returns the live peers that reached a target lately and know a configuration version, or a later one. */
+  peersWithTargets(configurationVersion: number): readonly Peer[]
   /** Whether a live peer has run for longer than this router needs to start. */
   hasEstablishedPeer(): boolean
   /** Last time at which no peer had polled the target list within SHORT_OUTAGE_MS, in milliseconds. */
@@ -124,6 +132,7 @@
   const server = await createPeerStateServer(
     settings.listen.peers,
     createPeerStateSource(options),
+    options.onRelayed,
   )
   // Digests are received on the same port, over UDP.
   const { address } = server
@@ -206,6 +215,8 @@
       table.livePeers(now()).some((peer) => peer.router < router),
     listedRouters: () => listedRouters,
     livePeers: () => table.livePeers(now()).map((peer) => peer.router),
+    peersWithTargets: (configurationVersion) =>
+      findPeersWithTargets(table.livePeers(now()), configurationVersion, now()),
     hasEstablishedPeer: () =>
       table
         .livePeers(now())
--- /dev/null
+++ b/packages/router/src/node/peers/findPeersWithTargets.ts
@@ -0,0 +1,18 @@
+import type { Peer } from './createPeerTable.js'
+
+/** Milliseconds since its last response from a target up to which a peer reaches targets. */
+const MAX_RESPONSE_AGE_MS = 3_000
+
+/** Returns the peers that reached a target lately and have a configuration version, or a later one. */
+export function findPeersWithTargets(
+  peers: readonly Peer[],
+  configurationVersion: number,
+  nowMs: number,
+): Peer[] {
+  return peers.filter(({ digest, receivedAtMs }) => {
+    const responseMs = digest?.targetResponseMs ?? null
+    if (!digest || responseMs === null) return false
+    if (digest.configurationVersion < configurationVersion) return false
+    return responseMs + nowMs - receivedAtMs <= MAX_RESPONSE_AGE_MS
+  })
+}
--- a/packages/router/src/node/peers/peerDigest.ts
+++ b/packages/router/src/node/peers/peerDigest.ts
@@ -63,6 +63,8 @@
   ),
   /** Hash of the router's shared records; null in the digest of an earlier release. */
   recordsFingerprint: v.optional(v.nullable(v.number()), null),
+  /** Milliseconds since a target responded to the router; null if it reaches none. */
+  targetResponseMs: v.optional(v.nullable(v.number()), null),
 })
 
 /** State that a router broadcasts to its peers several times per second. */
--- a/packages/router/src/node/routing/createRoutingState.ts
+++ b/packages/router/src/node/routing/createRoutingState.ts
@@ -8,6 +8,10 @@
   createTargetHealth,
   type TargetHealth,
 } from '../health/createTargetHealth.js'
+import {
+  watchReachability,
+  type WatchedReachability,
+} from '../health/watchReachability.js'
 import type { DecisionLog } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
 import { maxLoadAgeMs } from '../peers/maxLoadAgeMs.js'
@@ -26,7 +30,11 @@
   /** Returns the milliseconds for which a leaving target may still get requests. */
   readonly drainMs: () => number
   readonly livePeerCount: () => number
+  /** Called when this router loses or regains its connections to targets. */
+  readonly onReachabilityChange: () => void
   readonly log: DecisionLog
+  /** Monotonic clock, in milliseconds. */
+  readonly now: () => number
 }
 
 /** What a router knows of the targets. */
@@ -36,15 +44,30 @@
   readonly stallDetector: StallDetector
   readonly cacheLocations: CacheLocations
   readonly health: TargetHealth
+  readonly reachability: WatchedReachability
 }
 
 /** Creates the state of a router that knows no targets. */
 export function createRoutingState(options: RoutingStateOptions): RoutingState {
-  const { drainMs, livePeerCount, log } = options
+  const { drainMs, livePeerCount, log, now } = options
+  const targetList = createTargetList(constants.REJOIN_WINDOW_MS, drainMs)
+  const stallDetector = createStallDetector(constants.STALL_TIMEOUT_MS)
   return {
-    targetList: createTargetList(constants.REJOIN_WINDOW_MS, drainMs),
+    targetList,
     load: createFleetLoad(() => maxLoadAgeMs(livePeerCount() + 1)),
-    stallDetector: createStallDetector(constants.STALL_TIMEOUT_MS),
+    stallDetector,
+    reachability: watchReachability({
+      targets: () => [...targetList.all()],
+      silentMs: () => stallDetector.silentMs(now()),
+      onChange: (isCutOff) => {
+        log.write(
+          isCutOff ? LogEvent.TargetsUnreachable : LogEvent.TargetsReachable,
+          {},
+        )
+        options.onReachabilityChange()
+      },
+      now,
+    }),
     cacheLocations: createCacheLocations(constants.MAX_CACHE_LOCATIONS),
     health: createTargetHealth(HEALTH_OPTIONS, (target, change) => {
       log.write(LogEvent.TargetHealth, { target: target.id, change })
