Divide the slots of brittle targets among the routers

Cause: no router reads that statement, and each counts its own requests only. Class: a bound on the sum over the fleet, of which each router sees a part. Change: the statement is a shared record, as a limit is. The routers that rank highest for such a target divide its slots; each keeps as many requests in flight as its share. A brittle target that refuses gets nothing from that router for a second. Why it works: the shares sum up to the slots, without an exchange of counts; a target with a free slot refuses nothing, whatever it lets wait.

--- a/packages/router/src/node/callers/createCallPath.ts
+++ b/packages/router/src/node/callers/createCallPath.ts
@@ -55,6 +55,8 @@
     ...options,
     router: settings().router.id,
     routers: () => fleetSize.routers(now()),
+    inFlight: (targetId) =>
+      routingState.load.own().get(targetId)?.requests ?? 0,
   })
   const client = createTargetClient({
     protocol,
@@ -70,6 +72,7 @@
       ...options,
       ...routingState,
       client,
+      limits,
       peerRelay,
       selector: createTargetSelector({ ...options, ...routingState, limits }),
       retryBudgetFor: createRetryBudgets({
--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -4,6 +4,7 @@
 import type { Reachability } from '../health/createReachability.js'
 import type { StallDetector } from '../health/createStallDetector.js'
 import type { TargetHealth } from '../health/createTargetHealth.js'
+import type { TargetLimits } from '../limits/createTargetLimits.js'
 import type { RetryBudget } from '../limits/createRetryBudget.js'
 import type { DecisionLog } from '../logging/decisionLog.js'
 import type { RouterMetrics } from '../metrics/routerMetrics.js'
@@ -44,6 +45,7 @@
   readonly health: TargetHealth
   readonly stallDetector: StallDetector
   readonly client: TargetClient
+  readonly limits: TargetLimits
   readonly reachability: Reachability
   readonly peerRelay: PeerRelay
   /** Returns the peers that reach targets and know this router's configuration. */
--- a/packages/router/src/node/callers/createFailureHandler.ts
+++ b/packages/router/src/node/callers/createFailureHandler.ts
@@ -3,6 +3,7 @@
 import { Verdict } from '@auburnbay/core/verdict/verdict'
 import { classifyFailure } from '../health/classifyFailure.js'
 import type { TargetHealth } from '../health/createTargetHealth.js'
+import type { TargetLimits } from '../limits/createTargetLimits.js'
 import type { DecisionLog } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
 import type { TargetClient } from '../targets/createTargetClient.js'
@@ -18,10 +19,14 @@
 import { NextStep } from './nextStep.js'
 import { requestFingerprint } from './requestFingerprint.js'
 
+/** Milliseconds for which a brittle target that refused a request gets no others: it counts refusals per second. */
+const BRITTLE_AVOID_MS = 1_000
+
 /** Options for {@link createFailureHandler}. */
 export interface FailureHandlerOptions {
   readonly health: TargetHealth
   readonly client: TargetClient
+  readonly limits: TargetLimits
   readonly reportCrash: CrashReporter
   readonly log: DecisionLog
   /** Monotonic clock, in milliseconds. */
@@ -40,12 +45,15 @@
 export function createFailureHandler(
   options: FailureHandlerOptions,
 ): FailureHandler {
-  const { health, client, log, now } = options
+  const { health, client, limits, log, now } = options
   return (call, target, progress, failure) => {
     const handling = classifyFailure(failure.cause)
     if (handling.countsAgainstHealth)
       health.recordOutcome(target, TargetOutcome.Failure, now())
     if (handling.avoidMs > 0) health.avoid(target.id, handling.avoidMs, now())
+    const isRefused = failure.cause === TargetFailureCause.Refused
+    if (isRefused && limits.isBrittle(target.id))
+      health.avoid(target.id, BRITTLE_AVOID_MS, now())
     if (handling.retiresConnections) client.retireConnections(target)
     if (failure.cause === TargetFailureCause.Unreachable)
       health.recordUnreachable(target.id, now())
--- a/packages/router/src/node/limits/createTargetLimits.ts
+++ b/packages/router/src/node/limits/createTargetLimits.ts
@@ -5,6 +5,8 @@
 import type { ResponseHead } from '../targets/responseHead.js'
 import type { Target } from '../targets/target.js'
 import { createLimitShares } from './createLimitShares.js'
+import { createRoomShares } from './createRoomShares.js'
+import { createTargetValues } from './createTargetValues.js'
 
 /** Options for {@link createTargetLimits}. */
 export interface TargetLimitsOptions {
@@ -12,96 +14,83 @@
   readonly router: string
   /** Returns the routers of the fleet including this one; undefined while they are unknown. */
   readonly routers: () => readonly string[] | undefined
+  /** Returns the requests of this router that are in flight at a target. */
+  readonly inFlight: (targetId: string) => number
   readonly records: SharedRecords
   readonly log: DecisionLog
   /** Monotonic clock, in milliseconds. */
   readonly now: () => number
 }
 
-/** Keeps the requests of the whole fleet within the limits that targets name. */
+/** Keeps the requests of the whole fleet within what targets say that they take. */
 export interface TargetLimits {
-  /** Records the limit in the head of a response. */
+  /** Records what the head of a response says. */
   observe(target: Target, head: ResponseHead): void
   /** Whether this router may send a request to a target now. */
-  maySend(targetId: string): boolean
+  maySend(target: Target): boolean
   /** Records that a request is sent to a target. */
   recordSent(targetId: string): void
+  /** Whether a target falls over if it refuses many requests. */
+  isBrittle(targetId: string): boolean
   /** Returns the milliseconds until this router may send a request to one of these targets; 0 if it may. */
   waitMs(targets: readonly Target[]): number
 }
 
-interface KnownLimit {
-  /** Absent if the target named none. */
-  readonly perS?: number
-  readonly observedAtMs: number
-}
-
-/** Smallest change of a limit that is passed on, as a part of it. */
-const MIN_CHANGE = 0.05
-/** Milliseconds after which an unchanged limit is passed on again; well within the lifetime of a record. */
-const REFRESH_MS = 60_000
-
-function isSameLimit(a: number | undefined, b: number | undefined): boolean {
-  if (a === undefined || b === undefined) return a === b
-  return Math.abs(a - b) <= MIN_CHANGE * b
-}
+/** Wait for room at a target: by then another router has got the request, or a request here has ended. */
+const ROOM_WAIT_MS = 100
 
 /** Creates limits without an observation. */
 export function createTargetLimits(options: TargetLimitsOptions): TargetLimits {
-  const { records, log, now } = options
-  const shares = createLimitShares(options)
-  let limits = new Map<string, KnownLimit>()
+  const { log, inFlight } = options
+  const limitShares = createLimitShares(options)
+  const roomShares = createRoomShares(options)
+  const limits = createTargetValues({
+    ...options,
+    kind: RecordKind.TargetLimit,
+    onChange: (target, limit) => {
+      log.write(LogEvent.TargetLimit, { target, limit })
+    },
+  })
+  const brittle = createTargetValues({
+    ...options,
+    kind: RecordKind.TargetBrittle,
+    onChange: (target, maxRefusalsPerS) => {
+      log.write(LogEvent.TargetBrittle, { target, maxRefusalsPerS })
+    },
+  })
 
-  function newestLimits(): Map<string, KnownLimit> {
-    const newest = new Map<string, KnownLimit>()
-    for (const record of records.list(RecordKind.TargetLimit)) {
-      const { key, value, observedAtMs } = record
-      const known = newest.get(key)
-      if (known && known.observedAtMs >= observedAtMs) continue
-      const perS = Number.parseFloat(value[0] ?? '')
-      newest.set(key, {
-        ...(Number.isFinite(perS) && { perS }),
-        observedAtMs,
-      })
-    }
-    return newest
+  function waitForRoomMs(target: Target): number {
+    if (brittle.find(target.id) === undefined) return 0
+    return inFlight(target.id) < roomShares.share(target) ? 0 : ROOM_WAIT_MS
   }
 
-  records.onChange(RecordKind.TargetLimit, () => {
-    const before = limits
-    limits = newestLimits()
-    for (const [target, { perS: limit }] of limits)
-      if (before.get(target)?.perS !== limit)
-        log.write(LogEvent.TargetLimit, { target, limit })
-  })
-
   /** Returns the milliseconds until a request may be sent to a target. */
-  function waitForTargetMs(targetId: string): number {
-    const limitPerS = limits.get(targetId)?.perS
-    return limitPerS === undefined ? 0 : shares.waitMs(targetId, limitPerS)
+  function waitForTargetMs(target: Target): number {
+    const limitPerS = limits.find(target.id)
+    const limitMs =
+      limitPerS === undefined ? 0 : limitShares.waitMs(target.id, limitPerS)
+    return Math.max(limitMs, waitForRoomMs(target))
   }
 
   return {
-    observe({ id }, { requestLimitPerS, signed }) {
-      const known = limits.get(id)
-      // A refusal may lack the limit.
-      if (requestLimitPerS === undefined && !signed) return
-      const isRecent = known && now() - known.observedAtMs < REFRESH_MS
-      const isKnown = isSameLimit(requestLimitPerS, known?.perS)
-      if (isKnown && (isRecent || requestLimitPerS === undefined)) return
-      const value =
-        requestLimitPerS === undefined ? [] : [String(requestLimitPerS)]
-      records.publish(RecordKind.TargetLimit, id, value, now())
+    observe({ id }, head) {
+      const { requestLimitPerS, maxRefusalsPerS, signed } = head
+      // A refusal may lack both.
+      if (requestLimitPerS !== undefined || signed)
+        limits.observe(id, requestLimitPerS)
+      if (maxRefusalsPerS !== undefined || signed)
+        brittle.observe(id, maxRefusalsPerS)
     },
-    maySend: (targetId) => waitForTargetMs(targetId) === 0,
+    maySend: (target) => waitForTargetMs(target) === 0,
     recordSent(targetId) {
-      const limitPerS = limits.get(targetId)?.perS
-      if (limitPerS !== undefined) shares.recordSent(targetId, limitPerS)
+      const limitPerS = limits.find(targetId)
+      if (limitPerS !== undefined) limitShares.recordSent(targetId, limitPerS)
     },
+    isBrittle: (targetId) => brittle.find(targetId) !== undefined,
     waitMs(targets) {
       let waitMs = Infinity
-      for (const { id } of targets)
-        waitMs = Math.min(waitMs, waitForTargetMs(id))
+      for (const target of targets)
+        waitMs = Math.min(waitMs, waitForTargetMs(target))
       return waitMs
     },
   }
--- a/packages/router/src/node/logging/logEvent.ts
+++ b/packages/router/src/node/logging/logEvent.ts
@@ -15,6 +15,7 @@
   CacheUnknown = 'cache-unknown',
   TargetHealth = 'target-health',
   TargetLimit = 'target-limit',
+  TargetBrittle = 'target-brittle',
   TargetsUnreachable = 'targets-unreachable',
   TargetsReachable = 'targets-reachable',
   SourceUnavailable = 'source-lost',
--- a/packages/router/src/node/peers/sharedRecord.ts
+++ b/packages/router/src/node/peers/sharedRecord.ts
@@ -8,6 +8,8 @@
   HarmfulTrait = 'harmful',
   /** A target named a limit on its requests per second, or none; key: target, value: limit. */
   TargetLimit = 'limit',
+  /** A target said how many refusals per second it bears, or that it bears any; key: target, value: refusals. */
+  TargetBrittle = 'brittle',
 }
 
 /** A fact observed by one router. */
--- a/packages/router/src/node/routing/__tests__/cacheTargetLoss.test.ts
+++ b/packages/router/src/node/routing/__tests__/cacheTargetLoss.test.ts
@@ -56,6 +56,7 @@
     limits: {
       observe: () => undefined,
       maySend: () => true,
+      isBrittle: () => false,
       recordSent: () => undefined,
       waitMs: () => 0,
     },
--- a/packages/router/src/node/routing/createTargetSelector.ts
+++ b/packages/router/src/node/routing/createTargetSelector.ts
@@ -101,7 +101,7 @@
       const ready = targetList.ready(service, nowMs)
       const isAllowed = (target: Target): boolean =>
         !tried.has(target.id) &&
-        limits.maySend(target.id) &&
+        limits.maySend(target) &&
         (softwareVersion ?? target.softwareVersion) === target.softwareVersion
       const allowed = ready.filter(isAllowed)
       const available = health
--- a/packages/router/src/node/targets/responseHead.ts
+++ b/packages/router/src/node/targets/responseHead.ts
@@ -11,4 +11,6 @@
   readonly signed: boolean
   /** Requests per second that the target takes from the whole fleet; absent if it names no limit. */
   readonly requestLimitPerS?: number
+  /** Refusals per second beyond which the target falls over; absent if it bears any. */
+  readonly maxRefusalsPerS?: number
 }
