--- a/packages/router/src/node/callers/createRequestHandler.ts
+++ b/packages/router/src/node/callers/createRequestHandler.ts
@@ -134,7 +134,7 @@
       prefillTokens: placement?.prefillTokens,
       fetchFrom: placement?.fetchFrom?.id,
       sends,
-      relayed: admitted.relayed !== undefined,
+      relayed: admitted.relayed && true,
       status,
       callerGone,
       verdict: failure?.verdict ?? Verdict.Ran,
