Strip the relay header before a request goes to its target

What targets saw: a header of the routers' own protocol on each request that a peer relays. Cause: the peer forwards the request's headers as it got them.

--- a/packages/router/src/node/callers/createRequestHandler.ts
+++ b/packages/router/src/node/callers/createRequestHandler.ts
@@ -2,12 +2,13 @@
 import { Verdict } from '@auburnbay/core/verdict/verdict'
 import type { RequestFailure } from '@auburnbay/core/verdict/requestFailure'
 import { BodyError, readBody } from '@auburnbay/http-utils/readBody'
+import { withoutHeaders } from '@auburnbay/http-utils/withoutHeaders'
 import { err } from 'neverthrow'
 import type { ConfigurationStore } from '../configuration/createConfigurationStore.js'
 import type { DecisionLog } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
 import type { RouterMetrics } from '../metrics/routerMetrics.js'
-import type { RelayedRequest } from '../peers/relayedRequest.js'
+import { RELAY_HEADER, type RelayedRequest } from '../peers/relayedRequest.js'
 import type { ResumableStreams } from '../streams/createResumableStreams.js'
 import { affinityKey } from '../routing/affinityKey.js'
 import { type AdmittedRequest, admitRequest } from './admitRequest.js'
@@ -55,6 +56,16 @@
   refuseRequests(): void
 }
 
+const RELAY_HEADERS = new Set([RELAY_HEADER])
+
+function asRelayed(
+  admitted: AdmittedRequest,
+  relayed: RelayedRequest,
+): AdmittedRequest {
+  const rawHeaders = withoutHeaders(admitted.rawHeaders, RELAY_HEADERS)
+  return { ...admitted, rawHeaders, relayed }
+}
+
 /** Creates a handler. */
 export function createRequestHandler(
   options: RequestHandlerOptions,
@@ -181,7 +192,7 @@
       return
     }
     await forward(
-      { ...admitted.value, ...(relayed && { relayed }) },
+      relayed ? asRelayed(admitted.value, relayed) : admitted.value,
       body.value,
       res,
     )
