Look up a router's place for a target's limit in one module

No behaviour changes. createLimitShares and createRoomShares each ranked the routers with findLimitUsers and each kept the result for a second in a cache of its own. createLimitPlaces does both: it returns how many routers divide a limit and the rank of this one, from which either share is a division. findLimitUsers goes.

--- a/packages/router/src/node/limits/createLimitShares.ts
+++ b/packages/router/src/node/limits/createLimitShares.ts
@@ -1,16 +1,9 @@
 import { hash32 } from '@auburnbay/core/hash/hash32'
 import { LRUCache } from 'lru-cache'
-import { findLimitUsers } from './findLimitUsers.js'
-
-/** Options for {@link createLimitShares}. */
-export interface LimitSharesOptions {
-  /** Id of this router. */
-  readonly router: string
-  /** Returns the routers of the fleet including this one; undefined while they are unknown. */
-  readonly routers: () => readonly string[] | undefined
-  /** Monotonic clock, in milliseconds. */
-  readonly now: () => number
-}
+import {
+  createLimitPlaces,
+  type LimitPlacesOptions,
+} from './createLimitPlaces.js'
 
 /** This router's shares of the limits of targets. */
 export interface LimitShares {
@@ -26,21 +19,17 @@
 }
 
 interface Share {
-  readonly limitPerS: number
-  readonly computedAtMs: number
   /** Whether this router sends requests to the target at all. */
   readonly isUser: boolean
   readonly ratePerMs: number
   readonly maxCredits: number
 }
 
-/** Milliseconds for which a share is kept: the list of routers changes seldom. */
-const SHARE_LIFETIME_MS = 1_000
 /** Lowest rate of requests to a target, per second: without any, no response would say that its limit has risen. */
 const MIN_LIMIT_PER_S = 0.25
 /** Wait of a router that may not use a target: by then another router has got the request. */
 const OTHER_ROUTER_WAIT_MS = 100
-/** Targets whose shares are remembered. */
+/** Targets whose buckets are remembered. */
 const MAX_TARGETS = 10_000
 const MS_PER_S = 1_000
 const HASH_RANGE = 2 ** 32
@@ -59,38 +48,21 @@
  * as many as may each send a request at the same moment, so that the bound holds
  * although routers share no counts.
  */
-export function createLimitShares(options: LimitSharesOptions): LimitShares {
+export function createLimitShares(options: LimitPlacesOptions): LimitShares {
   const { router, now } = options
-  const shares = new LRUCache<string, Share>({ max: MAX_TARGETS })
+  const placeAt = createLimitPlaces(options)
   const buckets = new LRUCache<string, Bucket>({ max: MAX_TARGETS })
 
-  function computeShare(targetId: string, limitPerS: number): Share {
+  function shareOf(targetId: string, limitPerS: number): Share {
     const burst = burstOf(limitPerS)
-    const users = findLimitUsers(
-      targetId,
-      options.routers() ?? [],
-      Math.floor(burst),
-    )
+    const { users, rank } = placeAt(targetId, Math.floor(burst))
     return {
-      limitPerS,
-      computedAtMs: now(),
-      isUser: users.includes(router),
-      ratePerMs: Math.max(limitPerS, MIN_LIMIT_PER_S) / users.length / MS_PER_S,
-      maxCredits: burst / users.length,
+      isUser: rank !== undefined,
+      ratePerMs: Math.max(limitPerS, MIN_LIMIT_PER_S) / users / MS_PER_S,
+      maxCredits: burst / users,
     }
   }
 
-  function shareOf(targetId: string, limitPerS: number): Share {
-    const known = shares.get(targetId)
-    const isValid =
-      known?.limitPerS === limitPerS &&
-      now() - known.computedAtMs < SHARE_LIFETIME_MS
-    if (isValid) return known
-    const share = computeShare(targetId, limitPerS)
-    shares.set(targetId, share)
-    return share
-  }
-
   /** Returns a target's bucket, filled up to now; a new one is filled in part, differently at each router. */
   function bucketOf(
     targetId: string,
--- a/packages/router/src/node/limits/createTargetLimits.ts
+++ b/packages/router/src/node/limits/createTargetLimits.ts
@@ -4,22 +4,17 @@
 import { RecordKind } from '../peers/sharedRecord.js'
 import type { ResponseHead } from '../targets/responseHead.js'
 import type { Target } from '../targets/target.js'
+import type { LimitPlacesOptions } from './createLimitPlaces.js'
 import { createLimitShares } from './createLimitShares.js'
 import { createRoomShares } from './createRoomShares.js'
 import { createTargetValues } from './createTargetValues.js'
 
 /** Options for {@link createTargetLimits}. */
-export interface TargetLimitsOptions {
-  /** Id of this router. */
-  readonly router: string
-  /** Returns the routers of the fleet including this one; undefined while they are unknown. */
-  readonly routers: () => readonly string[] | undefined
+export interface TargetLimitsOptions extends LimitPlacesOptions {
   /** Returns the requests of this router that are in flight at a target. */
   readonly inFlight: (targetId: string) => number
   readonly records: SharedRecords
   readonly log: DecisionLog
-  /** Monotonic clock, in milliseconds. */
-  readonly now: () => number
 }
 
 /** Keeps the requests of the whole fleet within what targets say that they take. */
