Read the failures of peers with http-utils' readBody

A body over the limit is reported as such now, in the log line, in place of a JSON error; its verdict is the same.

--- a/packages/router/src/node/peers/createPeerRelay.ts
+++ b/packages/router/src/node/peers/createPeerRelay.ts
@@ -1,14 +1,13 @@
 import type { IncomingMessage } from 'node:http'
-import {
-  AttemptProgress,
-  verdictOfAttempt,
-} from '@auburnbay/core/verdict/attemptProgress'
+import { verdictOfAttempt } from '@auburnbay/core/verdict/attemptProgress'
 import type { FailureCode } from '@auburnbay/core/verdict/failureCode'
 import type { RequestFailure } from '@auburnbay/core/verdict/requestFailure'
 import { Verdict } from '@auburnbay/core/verdict/verdict'
 import { ConnectionPool } from '@auburnbay/http-utils/connectionPool'
 import { exchange } from '@auburnbay/http-utils/exchange'
 import { HOP_BY_HOP } from '@auburnbay/http-utils/hopByHop'
+import { formatAddress } from '@auburnbay/http-utils/listen'
+import { readBody } from '@auburnbay/http-utils/readBody'
 import { withoutHeaders } from '@auburnbay/http-utils/withoutHeaders'
 import { err, ok, type Result } from 'neverthrow'
 import type { Call } from '../callers/call.js'
@@ -51,21 +50,12 @@
   RELAY_HEADER,
 ])
 
-async function readText(res: IncomingMessage): Promise<string> {
-  let text = ''
-  for await (const chunk of res) {
-    text += String(chunk)
-    if (text.length > MAX_FAILURE_BYTES) break
-  }
-  return text
-}
-
-async function decodeFailure(res: IncomingMessage): Promise<RequestFailure> {
+function decodeFailure(res: IncomingMessage, body: Buffer): RequestFailure {
   const verdict =
     res.headers[RELAY_VERDICT_HEADER] === Verdict.NotRun
       ? Verdict.NotRun
       : Verdict.MayHaveRun
-  const { error } = JSON.parse(await readText(res)) as {
+  const { error } = JSON.parse(body.toString()) as {
     error: { code: FailureCode; message: string }
   }
   const retryAfterS = Number(res.headers['retry-after'] ?? NaN)
@@ -83,7 +73,7 @@
   const agent = new ConnectionPool(KEEP_ALIVE_TIMEOUT_MS)
   return {
     async send(call, peer, relayed) {
-      const address = `${peer.address.host}:${peer.address.port}`
+      const address = formatAddress(peer.address)
       const result = await exchange({
         url: `http://${address}`,
         path: call.path,
@@ -113,13 +103,14 @@
       const response = result.value
       if (response.headers[RELAY_VERDICT_HEADER] === undefined)
         return ok({ response })
+      const body = await readBody(response, MAX_FAILURE_BYTES)
+      if (body.isErr())
+        return err({ verdict: Verdict.MayHaveRun, message: body.error })
       try {
-        return ok({ failure: await decodeFailure(response) })
+        return ok({ failure: decodeFailure(response, body.value) })
       } catch (error) {
-        return err({
-          verdict: verdictOfAttempt(AttemptProgress.Written),
-          message: error instanceof Error ? error.message : String(error),
-        })
+        const message = error instanceof Error ? error.message : String(error)
+        return err({ verdict: Verdict.MayHaveRun, message })
       }
     },
     close() {
