--- a/packages/router/src/node/constants.ts
+++ b/packages/router/src/node/constants.ts
@@ -47,4 +47,4 @@
 /** Milliseconds for which a shared record binds routers that learn of it. */
 export const RECORD_LIFETIME_MS = 15 * 60_000
 /** Milliseconds after the last crash for which requests with a harmful trait are refused; as long as its records last. */
-export const HARMFUL_PART_LIFETIME_MS = RECORD_LIFETIME_MS
+export const HARMFUL_TRAIT_LIFETIME_MS = RECORD_LIFETIME_MS
--- a/packages/router/src/node/crashes/createHarmfulTraitGuard.ts
+++ b/packages/router/src/node/crashes/createHarmfulTraitGuard.ts
@@ -1,4 +1,4 @@
-import { HARMFUL_PART_LIFETIME_MS } from '../constants.js'
+import { HARMFUL_TRAIT_LIFETIME_MS } from '../constants.js'
 import type { DecisionLog } from '../logging/decisionLog.js'
 import type { SharedRecords } from '../peers/createSharedRecords.js'
 import type { LogRestores } from '../sources/createLogRestores.js'
@@ -32,20 +32,20 @@
 export function createHarmfulTraitGuard(
   options: HarmfulTraitGuardOptions,
 ): HarmfulTraitGuard {
-  const lifetimeMs = HARMFUL_PART_LIFETIME_MS
+  const lifetimeMs = HARMFUL_TRAIT_LIFETIME_MS
   const storage = createHarmfulTraitStorage({ ...options, lifetimeMs })
-  const parts = createHarmfulTraits({
+  const traits = createHarmfulTraits({
     ...options,
     lifetimeMs,
-    onFound: (part) => {
-      storage.save(part)
+    onFound: (trait) => {
+      storage.save(trait)
     },
-    onCleared: (part) => {
-      storage.remove(part)
+    onCleared: (trait) => {
+      storage.remove(trait)
     },
   })
   return {
-    traits: parts,
+    traits,
     stop: () => {
       storage.stop()
     },
--- a/packages/router/src/node/crashes/createHarmfulTraitStorage.ts
+++ b/packages/router/src/node/crashes/createHarmfulTraitStorage.ts
@@ -39,7 +39,7 @@
   const stopping = new AbortController()
   const { signal } = stopping
   const saved = new Map<string, StoredHarmfulTrait>()
-  /** Parts to be written; without a value they are removed. */
+  /** Traits to be written; without a value they are removed. */
   const unwritten = new Map<string, StoredHarmfulTrait | undefined>()
   let isWriting = false
 
