Compute the fingerprint of a call once, judge an unreachable target in one place

No behaviour changes. The fingerprint was hashed for the call's traits and again for each line about a send without a response; it is in the call's progress now. An unreachable target was recognised in the sender and in the failure handler, and a brittle one that refused was avoided twice, the second time for longer; each is one step of the failure handler. A router that is cut off has no response age, so the digest needs no case for it. A check of reachability copied all targets twice.

--- a/packages/router/src/node/callers/callProgress.ts
+++ b/packages/router/src/node/callers/callProgress.ts
@@ -2,13 +2,15 @@
 import { Verdict } from '@auburnbay/core/verdict/verdict'
 import { RequestKind } from '../configuration/requestKind.js'
 import type { HarmfulTrait } from '../crashes/harmfulTrait.js'
+import { requestTrait } from '../crashes/requestTrait.js'
 import type { Placement } from '../routing/placement.js'
 import { isResumable } from '../streams/isResumable.js'
 import { TargetFailureCause } from '../targets/targetFailure.js'
 import type { Call } from './call.js'
 import type { ResponseRelay } from './createResponseRelay.js'
 import { failures } from './failures.js'
-import { requestTraits } from './requestTraits.js'
+import { requestFingerprint } from './requestFingerprint.js'
+import { sharedPartIds } from './sharedPartIds.js'
 
 /** Minimum time before the deadline for a send to be worthwhile, in milliseconds. */
 export const MIN_REMAINING_MS = 5
@@ -16,7 +18,9 @@
 /** State of one call across its sends to targets. */
 export interface CallProgress {
   readonly relay: ResponseRelay
-  /** What the call has in common with requests that may crash targets. */
+  /** What identifies the request in each of its attempts. */
+  readonly fingerprint: string
+  /** What the call has in common with others: its shared prompt parts and, the most specific, its fingerprint. */
   readonly traits: readonly string[]
   /** Ids of the targets that the call was sent to. */
   readonly tried: Set<string>
@@ -45,9 +49,14 @@
   call: Call,
 ): CallProgress {
   const { softwareVersion } = call
+  const fingerprint = requestFingerprint(call)
   return {
     relay,
-    traits: requestTraits(call),
+    fingerprint,
+    traits: [
+      ...sharedPartIds(call.request.promptParts),
+      requestTrait(fingerprint),
+    ],
     ...(softwareVersion !== undefined && { softwareVersion }),
     tried: new Set(),
     triedPeers: new Set(),
--- a/packages/router/src/node/callers/createFailureHandler.ts
+++ b/packages/router/src/node/callers/createFailureHandler.ts
@@ -2,6 +2,7 @@
 import { combineVerdicts } from '@auburnbay/core/verdict/attemptProgress'
 import { Verdict } from '@auburnbay/core/verdict/verdict'
 import { classifyFailure } from '../health/classifyFailure.js'
+import type { Reachability } from '../health/createReachability.js'
 import type { TargetHealth } from '../health/createTargetHealth.js'
 import type { TargetLimits } from '../limits/createTargetLimits.js'
 import type { DecisionLog } from '../logging/decisionLog.js'
@@ -17,7 +18,6 @@
 import type { CrashReporter } from './createCrashReporter.js'
 import { loggedPartIds } from './loggedPartIds.js'
 import { NextStep } from './nextStep.js'
-import { requestFingerprint } from './requestFingerprint.js'
 
 /** Milliseconds for which a brittle target that refused a request gets no others: it counts refusals per second. */
 const BRITTLE_AVOID_MS = 1_000
@@ -25,6 +25,7 @@
 /** Options for {@link createFailureHandler}. */
 export interface FailureHandlerOptions {
   readonly health: TargetHealth
+  readonly reachability: Reachability
   readonly client: TargetClient
   readonly limits: TargetLimits
   readonly reportCrash: CrashReporter
@@ -45,18 +46,22 @@
 export function createFailureHandler(
   options: FailureHandlerOptions,
 ): FailureHandler {
-  const { health, client, limits, log, now } = options
+  const { health, reachability, client, limits, log, now } = options
   return (call, target, progress, failure) => {
     const handling = classifyFailure(failure.cause)
     if (handling.countsAgainstHealth)
       health.recordOutcome(target, TargetOutcome.Failure, now())
-    if (handling.avoidMs > 0) health.avoid(target.id, handling.avoidMs, now())
     const isRefused = failure.cause === TargetFailureCause.Refused
-    if (isRefused && limits.isBrittle(target.id))
-      health.avoid(target.id, BRITTLE_AVOID_MS, now())
+    const avoidMs =
+      isRefused && limits.isBrittle(target.id)
+        ? BRITTLE_AVOID_MS
+        : handling.avoidMs
+    if (avoidMs > 0) health.avoid(target.id, avoidMs, now())
     if (handling.retiresConnections) client.retireConnections(target)
-    if (failure.cause === TargetFailureCause.Unreachable)
+    if (failure.cause === TargetFailureCause.Unreachable) {
       health.recordUnreachable(target.id, now())
+      reachability.recordUnreachable(target.id)
+    }
     progress.verdict = combineVerdicts(progress.verdict, failure.verdict)
     progress.lastCause = failure.cause
     if (failure.verdict !== Verdict.NotRun) {
@@ -71,7 +76,7 @@
       verdict: failure.verdict,
       cause: failure.cause,
       reason: failure.message,
-      fingerprint: requestFingerprint(call),
+      fingerprint: progress.fingerprint,
       parts: loggedPartIds(call.request.promptParts),
     })
     if (failure.cause === TargetFailureCause.Aborted) return NextStep.Done
--- a/packages/router/src/node/callers/createResponseHandler.ts
+++ b/packages/router/src/node/callers/createResponseHandler.ts
@@ -16,7 +16,6 @@
 import { loggedPartIds } from './loggedPartIds.js'
 import { NextStep } from './nextStep.js'
 import { RelayOutcome } from './relayOutcome.js'
-import { requestFingerprint } from './requestFingerprint.js'
 
 const MIN_FAILURE_STATUS = 300
 const MIN_SERVER_ERROR_STATUS = 500
@@ -92,7 +91,7 @@
       cause: TargetFailureCause.Broken,
       reason: 'truncated response',
       lastEvent: lastEventId,
-      fingerprint: requestFingerprint(call),
+      fingerprint: progress.fingerprint,
       parts: loggedPartIds(call.request.promptParts),
     })
     return canRetry(call, progress) ? NextStep.Retry : NextStep.Done
--- a/packages/router/src/node/callers/createTargetSender.ts
+++ b/packages/router/src/node/callers/createTargetSender.ts
@@ -7,7 +7,6 @@
 import type { TargetSelector } from '../routing/createTargetSelector.js'
 import type { Placement } from '../routing/placement.js'
 import type { TargetClient } from '../targets/createTargetClient.js'
-import { TargetFailureCause } from '../targets/targetFailure.js'
 import type { Call } from './call.js'
 import { type CallProgress, canRetryAfterTimeout } from './callProgress.js'
 import type { FailureHandler } from './createFailureHandler.js'
@@ -76,8 +75,6 @@
       )
       load.releasePromptTokens(target.id, prefillTokens)
       if (result.isErr()) {
-        if (result.error.cause === TargetFailureCause.Unreachable)
-          reachability.recordUnreachable(target.id)
         if (result.error.verdict === Verdict.NotRun)
           selector.recordNotRun(call, placement, result.error.cause)
         return options.handleFailure(call, target, progress, result.error)
--- a/packages/router/src/node/health/createReachability.ts
+++ b/packages/router/src/node/health/createReachability.ts
@@ -3,7 +3,7 @@
 /** Options for {@link createReachability}. */
 export interface ReachabilityOptions {
   /** Returns all targets. */
-  readonly targets: () => readonly Target[]
+  readonly targets: () => Iterable<Target>
   /** Resolves to whether a target accepts a connection. */
   readonly connects: (target: Target) => Promise<boolean>
   /** Returns the milliseconds for which all targets with requests in flight have sent nothing; 0 without requests. */
@@ -24,7 +24,7 @@
   recordResponse(): void
   /** Records that a target did not accept a connection. */
   recordUnreachable(targetId: string): void
-  /** Returns the milliseconds since a target responded to this router; infinite if none has. */
+  /** Returns the milliseconds since a target responded to this router; infinite if none has, or it is cut off. */
   responseAgeMs(): number
   /** Checks for suspicions, and for the end of a cut. */
   poll(): Promise<void>
@@ -88,7 +88,7 @@
     recordUnreachable(targetId) {
       unreachableAtMs.set(targetId, now())
     },
-    responseAgeMs: () => now() - respondedAtMs,
+    responseAgeMs: () => (isCutOff ? Infinity : now() - respondedAtMs),
     async poll() {
       if (isChecking || now() - checkedAtMs < CHECK_INTERVAL_MS) return
       if (!isCutOff && !isSuspicious()) return
--- a/packages/router/src/node/peers/createDigestBuilder.ts
+++ b/packages/router/src/node/peers/createDigestBuilder.ts
@@ -65,9 +65,7 @@
         .takeUpdates()
         .map((record) => encodeRecord(record, now())),
       recordsFingerprint: records.fingerprint(),
-      targetResponseMs: reachability.isCutOff
-        ? null
-        : finiteOrNull(reachability.responseAgeMs()),
+      targetResponseMs: finiteOrNull(reachability.responseAgeMs()),
     }
   }
 }
--- a/packages/router/src/node/routing/createRoutingState.ts
+++ b/packages/router/src/node/routing/createRoutingState.ts
@@ -57,7 +57,7 @@
     load: createFleetLoad(() => maxLoadAgeMs(livePeerCount() + 1)),
     stallDetector,
     reachability: watchReachability({
-      targets: () => [...targetList.all()],
+      targets: () => targetList.all(),
       silentMs: () => stallDetector.silentMs(now()),
       onChange: (isCutOff) => {
         log.write(
