Keep what a target has said until a later start of it

What callers saw: a target that had said that it leaves, or wants rest, got requests again once another entry of it was listed: one with an earlier start (a copy of the log that was restored, another writer) or one without a start (DRAIN, BUDGET). Cause: a statement was filed under the start that the list named; any other start, not only a later one, found none. Now statements are kept by target, and only a later start ends them (createStartStatements, used by pauses and by the target list). A peer's list and a restored log do not bring back an earlier start either.

--- a/packages/router/src/node/limits/createTargetPauses.ts
+++ b/packages/router/src/node/limits/createTargetPauses.ts
@@ -1,8 +1,7 @@
-import { LRUCache } from 'lru-cache'
 import type { DecisionLog } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
 import type { Target } from '../targets/target.js'
-import { targetIncarnation } from '../targets/targetIncarnation.js'
+import { createStartStatements } from '../targets/createStartStatements.js'
 
 /** Options for {@link createTargetPauses}. */
 export interface TargetPausesOptions {
@@ -21,18 +20,18 @@
 
 /** Longest pause, in seconds; a target with a longer one gets a request then, and may name it again. */
 const MAX_PAUSE_S = 300
-/** Starts of targets whose pauses are remembered. */
+/** Targets whose pauses are remembered. */
 const MAX_TARGETS = 10_000
 const MS_PER_S = 1_000
 
 /** Creates pauses without an observation. */
 export function createTargetPauses(options: TargetPausesOptions): TargetPauses {
   const { log, now } = options
-  const untilMs = new LRUCache<string, number>({ max: MAX_TARGETS })
+  const untilMs = createStartStatements<number>(MAX_TARGETS)
   let hasRejected = false
 
   function waitMs(target: Target): number {
-    return Math.max(0, (untilMs.get(targetIncarnation(target)) ?? 0) - now())
+    return Math.max(0, (untilMs.find(target) ?? 0) - now())
   }
 
   return {
@@ -46,7 +45,7 @@
       }
       const pauseMs = Math.min(pauseS, MAX_PAUSE_S) * MS_PER_S
       if (pauseMs <= waitMs(target)) return
-      untilMs.set(targetIncarnation(target), now() + pauseMs)
+      untilMs.set(target, now() + pauseMs)
       log.write(LogEvent.TargetPaused, { target: target.id, ms: pauseMs })
     },
     waitMs,
--- a/packages/router/src/node/targets/__tests__/followTargets.test.ts
+++ b/packages/router/src/node/targets/__tests__/followTargets.test.ts
@@ -108,6 +108,16 @@
     test.follower.stop()
   })
 
+  it('ignores a list of a peer with an earlier start of a target', async () => {
+    const test = await follow([{ ...target('a'), startedAtMs: 2 }])
+    test.setFreshReader(true)
+    await test.settle()
+    const earlier = { ...target('a'), startedAtMs: 1, port: 2 }
+    test.follower.applyPeerList([earlier, target('b')], 0)
+    assert.deepEqual(test.ready(), ['a'])
+    test.follower.stop()
+  })
+
   it('adds a removed target again when the source lists it', async () => {
     const test = await follow([target('a')])
     test.changes.push({ key: 'a' })
--- a/packages/router/src/node/targets/createLeavingTargets.ts
+++ b/packages/router/src/node/targets/createLeavingTargets.ts
@@ -5,7 +5,7 @@
 import type { TargetList } from './createTargetList.js'
 import type { ResponseHead } from './responseHead.js'
 import type { Target } from './target.js'
-import { targetIncarnation } from './targetIncarnation.js'
+import { decodeIncarnation, targetIncarnation } from './targetIncarnation.js'
 
 /** Options for {@link createLeavingTargets}. */
 export interface LeavingTargetsOptions {
@@ -31,17 +31,17 @@
 
   records.onChange(kind, () => {
     for (const { key, value } of records.list(kind)) {
-      if (targetList.isLeaving(key)) continue
-      targetList.markLeaving(key)
-      log.write(LogEvent.TargetLeaving, { target: value[0] ?? key })
+      const start = decodeIncarnation(key, value[0] ?? key)
+      if (targetList.isLeaving(start)) continue
+      targetList.markLeaving(start)
+      log.write(LogEvent.TargetLeaving, { target: start.id })
     }
   })
 
   return {
     observe(target, { leaving }) {
-      const incarnation = targetIncarnation(target)
-      if (!leaving || targetList.isLeaving(incarnation)) return
-      records.publish(kind, incarnation, [target.id], now())
+      if (!leaving || targetList.isLeaving(target)) return
+      records.publish(kind, targetIncarnation(target), [target.id], now())
     },
   }
 }
--- a/packages/router/src/node/targets/createTargetList.ts
+++ b/packages/router/src/node/targets/createTargetList.ts
@@ -1,12 +1,16 @@
 import { isDeepStrictEqual } from 'node:util'
 import { hash32 } from '@auburnbay/core/hash/hash32'
 import { LRUCache } from 'lru-cache'
+import {
+  createStartStatements,
+  type TargetStart,
+} from './createStartStatements.js'
 import type { Target } from './target.js'
 import { targetIncarnation } from './targetIncarnation.js'
 
 /** Removed targets that are remembered. */
 const MAX_REMOVED = 100
-/** Starts of targets that are remembered as leaving; far more than leave within a drain time. */
+/** Targets that are remembered as leaving; far more than leave within a drain time. */
 const MAX_LEAVING = 1_000
 
 function fingerprintOf(targets: Iterable<Target>): number {
@@ -38,9 +42,9 @@
   readonly revision: number
   set(target: Target): void
   remove(id: string, nowMs: number): void
-  /** Excludes one start of a target from {@link ready}, whatever its entry says. */
-  markLeaving(incarnation: string): void
-  isLeaving(incarnation: string): boolean
+  /** Excludes a target from {@link ready} until it starts again, whatever its entry says. */
+  markLeaving(target: TargetStart): void
+  isLeaving(target: TargetStart): boolean
   /** Starts the rejoin window after an outage, in which removed targets stay as their entries may return. */
   startRejoinWindow(nowMs: number): void
 }
@@ -60,18 +64,21 @@
   const removed = new LRUCache<string, { target: Target; removedAtMs: number }>(
     { max: MAX_REMOVED },
   )
-  /** Starts of targets that said that they leave. */
-  const leaving = new LRUCache<string, true>({ max: MAX_LEAVING })
+  const leaving = createStartStatements<true>(MAX_LEAVING)
   let byService: Map<string, Target[]> | undefined
   let fingerprint: number | undefined
   let ids: readonly string[] | undefined
   let rejoinUntilMs = -Infinity
   let revision = 0
 
+  function isLeaving(target: TargetStart): boolean {
+    return leaving.find(target) ?? false
+  }
+
   function indexByService(): Map<string, Target[]> {
     const index = new Map<string, Target[]>()
     for (const target of targets.values()) {
-      if (target.draining || leaving.has(targetIncarnation(target))) continue
+      if (target.draining || isLeaving(target)) continue
       const group = index.get(target.service)
       if (group) group.push(target)
       else index.set(target.service, [target])
@@ -144,11 +151,11 @@
     },
     set,
     remove,
-    markLeaving(incarnation) {
-      leaving.set(incarnation, true)
+    markLeaving(target) {
+      leaving.set(target, true)
       invalidateIndexes()
     },
-    isLeaving: (incarnation) => leaving.has(incarnation),
+    isLeaving,
     startRejoinWindow(nowMs) {
       rejoinUntilMs = nowMs + rejoinMs
     },
--- a/packages/router/src/node/targets/followTargets.ts
+++ b/packages/router/src/node/targets/followTargets.ts
@@ -104,9 +104,12 @@
   }
 
   /** Whether an entry is older than what this router knows. */
-  function isOutdated({ id, draining }: Target): boolean {
+  function isOutdated({ id, draining, startedAtMs }: Target): boolean {
     if (removed.has(id)) return true
-    return targetList.find(id)?.draining === true && !draining
+    const known = targetList.find(id)
+    if (!known) return false
+    const isEarlier = (startedAtMs ?? Infinity) < (known.startedAtMs ?? 0)
+    return isEarlier || (known.draining && !draining)
   }
 
   function applyPeerList(targets: readonly Target[], ageMs: number): void {
