Hear what targets say in lists of cached prompts

What callers saw: after a router's start, requests went to targets that had just turned its call for their cached prompts away with Retry-After, or had said in it that they leave (BUDGET, DRAIN). Cause: what a target says of itself was read from responses to callers' requests only; leaving targets, pauses and limits were each wired to that one place by hand. Now createTargetStatements owns all of it and is fed by every response of a target, whoever asked; the router does not ask a target for its prompts that takes no requests. A 421 tells nothing about the target that was expected.

--- a/packages/router/src/node/callers/createCallPath.ts
+++ b/packages/router/src/node/callers/createCallPath.ts
@@ -1,6 +1,5 @@
 import { CONNECT_TIMEOUT_MS, KEEP_ALIVE_TIMEOUT_MS } from '../constants.js'
 import { createRetryBudgets } from '../limits/createRetryBudgets.js'
-import { createTargetLimits } from '../limits/createTargetLimits.js'
 import { retryBoundsOf } from '../limits/retryBoundsOf.js'
 import type { DecisionLog } from '../logging/decisionLog.js'
 import type { RouterMetrics } from '../metrics/routerMetrics.js'
@@ -13,8 +12,11 @@
 import { createTargetSelector } from '../routing/createTargetSelector.js'
 import type { RouterSettings } from '../settings/settingsSchema.js'
 import type { ResumableStreams } from '../streams/createResumableStreams.js'
-import { createLeavingTargets } from '../targets/createLeavingTargets.js'
 import { createTargetClient } from '../targets/createTargetClient.js'
+import {
+  createTargetStatements,
+  type TargetStatements,
+} from '../targets/createTargetStatements.js'
 import type { TargetProtocol } from '../targets/targetProtocol.js'
 import { createDispatcher, type Dispatcher } from './createDispatcher.js'
 
@@ -45,6 +47,7 @@
 /** The path of a call to its targets. */
 export interface CallPath {
   readonly dispatcher: Dispatcher
+  readonly statements: TargetStatements
   /** Closes the connections to targets and peers. */
   close(): void
 }
@@ -52,28 +55,26 @@
 /** Creates the path of calls from their admission to the targets. */
 export function createCallPath(options: CallPathOptions): CallPath {
   const { settings, protocol, routingState, fleetSize, now } = options
-  const limits = createTargetLimits({
+  const statements = createTargetStatements({
     ...options,
+    targetList: routingState.targetList,
     router: settings().router.id,
     routers: () => fleetSize.routers(now()),
     inFlight: (targetId) =>
       routingState.load.own().get(targetId)?.requests ?? 0,
   })
-  const leavingTargets = createLeavingTargets({
-    ...options,
-    targetList: routingState.targetList,
-  })
+  const { limits } = statements
   const client = createTargetClient({
     protocol,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     keepAliveTimeoutMs: KEEP_ALIVE_TIMEOUT_MS,
-    onHead: (target, head) => {
-      limits.observe(target, head)
-      leavingTargets.observe(target, head)
+    onStatement: (target, statement) => {
+      statements.observe(target, statement)
     },
   })
   const peerRelay = createPeerRelay()
   return {
+    statements,
     dispatcher: createDispatcher({
       ...options,
       ...routingState,
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -149,19 +149,6 @@
     !stopping && configurationStore.current !== undefined && targets.isLoaded()
   const sharesCache = (service: string): boolean =>
     configurationStore.current?.services.get(service)?.sharesCache ?? false
-  const cacheRecovery = createCacheRecovery({
-    router: settings.router.id,
-    inventory: ports.cacheInventory,
-    cacheLocations,
-    targets: () =>
-      isReady()
-        ? [...targetList.all()].filter(({ service }) => sharesCache(service))
-        : undefined,
-    peers: peers.current,
-    log,
-    now,
-  })
-
   const callPath = createCallPath({
     settings: () => settings,
     protocol: ports.targetProtocol,
@@ -181,6 +168,19 @@
     metrics,
     now,
   })
+  const cacheRecovery = createCacheRecovery({
+    router: settings.router.id,
+    inventory: ports.cacheInventory,
+    cacheLocations,
+    targets: () =>
+      isReady()
+        ? [...targetList.all()].filter(({ service }) => sharesCache(service))
+        : undefined,
+    statements: callPath.statements,
+    peers: peers.current,
+    log,
+    now,
+  })
   const handler = createRequestHandler({
     configurationStore,
     protocol: ports.callerProtocol,
--- a/packages/router/src/node/limits/createTargetLimits.ts
+++ b/packages/router/src/node/limits/createTargetLimits.ts
@@ -2,12 +2,12 @@
 import { LogEvent } from '../logging/logEvent.js'
 import type { SharedRecords } from '../peers/createSharedRecords.js'
 import { RecordKind } from '../peers/sharedRecord.js'
-import type { ResponseHead } from '../targets/responseHead.js'
 import type { Target } from '../targets/target.js'
+import type { TargetStatement } from '../targets/targetStatement.js'
 import type { LimitPlacesOptions } from './createLimitPlaces.js'
 import { createLimitShares } from './createLimitShares.js'
 import { createRoomShares } from './createRoomShares.js'
-import { createTargetPauses } from './createTargetPauses.js'
+import type { TargetPauses } from './createTargetPauses.js'
 import { createTargetValues } from './createTargetValues.js'
 
 /** Options for {@link createTargetLimits}. */
@@ -15,13 +15,14 @@
   /** Returns the requests of this router that are in flight at a target. */
   readonly inFlight: (targetId: string) => number
   readonly records: SharedRecords
+  readonly pauses: TargetPauses
   readonly log: DecisionLog
 }
 
 /** Keeps requests within what targets say that they take from the whole fleet, and from this router. */
 export interface TargetLimits {
-  /** Records what the head of a response says. */
-  observe(target: Target, head: ResponseHead): void
+  /** Records the limits that a target names. */
+  observe(targetId: string, statement: TargetStatement): void
   /** Whether this router may send a request to a target now. */
   maySend(target: Target): boolean
   /** Records that a request is sent to a target. */
@@ -37,10 +38,9 @@
 
 /** Creates limits without an observation. */
 export function createTargetLimits(options: TargetLimitsOptions): TargetLimits {
-  const { log, inFlight } = options
+  const { pauses, log, inFlight } = options
   const limitShares = createLimitShares(options)
   const roomShares = createRoomShares(options)
-  const pauses = createTargetPauses(options)
   const limits = createTargetValues({
     ...options,
     kind: RecordKind.TargetLimit,
@@ -70,15 +70,12 @@
   }
 
   return {
-    observe(target, head) {
-      const { id } = target
-      const { requestLimitPerS, maxRefusalsPerS, pauseS, signed } = head
-      if (pauseS !== undefined) pauses.observe(target, pauseS)
-      // A refusal may lack both.
-      if (requestLimitPerS !== undefined || signed)
-        limits.observe(id, requestLimitPerS)
-      if (maxRefusalsPerS !== undefined || signed)
-        brittle.observe(id, maxRefusalsPerS)
+    observe(targetId, statement) {
+      const { requestLimitPerS, maxRefusalsPerS, namesAllLimits } = statement
+      if (requestLimitPerS !== undefined || namesAllLimits)
+        limits.observe(targetId, requestLimitPerS)
+      if (maxRefusalsPerS !== undefined || namesAllLimits)
+        brittle.observe(targetId, maxRefusalsPerS)
     },
     maySend: (target) => waitForTargetMs(target) === 0,
     recordSent(targetId) {
--- a/packages/router/src/node/routing/__tests__/createCacheRecovery.test.ts
+++ b/packages/router/src/node/routing/__tests__/createCacheRecovery.test.ts
@@ -1,6 +1,9 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import type { CacheInventory } from '../../targets/cacheInventory.js'
+import type {
+  CacheInventory,
+  CacheListing,
+} from '../../targets/cacheInventory.js'
 import type { Target } from '../../targets/target.js'
 import { assignedTargets } from '../assignedTargets.js'
 import { createCacheLocations } from '../createCacheLocations.js'
@@ -19,8 +22,16 @@
   draining: false,
 }))
 const now = () => 0
+const SILENT_TARGETS = {
+  observe: () => undefined,
+  acceptsRequests: () => true,
+}
 const ROUTERS = ['r1', 'r2', 'r3', 'r4']
 
+const listing = (parts: string[]): CacheListing => ({
+  statement: { leaving: false, namesAllLimits: false },
+  parts,
+})
 const promptOf = ({ id }: Target): string => `prompt of ${id}`
 
 /** Recovers as `router`; returns the targets that it asked and the locations that it learnt. */
@@ -28,7 +39,7 @@
   router: string,
   peers: Partial<RecoveryPeers>,
   list: CacheInventory['list'] = (target) =>
-    Promise.resolve([promptOf(target)]),
+    Promise.resolve(listing([promptOf(target)])),
 ) {
   const asked: string[] = []
   const cacheLocations = createCacheLocations(100)
@@ -42,6 +53,7 @@
     },
     cacheLocations,
     targets: () => TARGETS,
+    statements: SILENT_TARGETS,
     peers: {
       listedRouters: () => ROUTERS,
       expectedPeers: () => ROUTERS.filter((peer) => peer !== router),
@@ -121,11 +133,12 @@
       inventory: {
         list: ({ id }) => {
           asked.push(id)
-          return Promise.resolve([])
+          return Promise.resolve(listing([]))
         },
       },
       cacheLocations: createCacheLocations(100),
       targets: () => (listed.length > 0 ? listed : undefined),
+      statements: SILENT_TARGETS,
       peers: {
         listedRouters: () => [],
         expectedPeers: () => [],
@@ -149,7 +162,9 @@
       'r1',
       { listedRouters: () => [], expectedPeers: () => [] },
       (target) =>
-        Promise.resolve(target.id === 't0' ? undefined : [promptOf(target)]),
+        Promise.resolve(
+          target.id === 't0' ? undefined : listing([promptOf(target)]),
+        ),
     )
     const [first, second] = TARGETS
     assert.ok(first && second)
--- a/packages/router/src/node/routing/createCacheRecovery.ts
+++ b/packages/router/src/node/routing/createCacheRecovery.ts
@@ -3,6 +3,7 @@
 import { LogEvent } from '../logging/logEvent.js'
 import type { Peers } from '../peers/createPeers.js'
 import type { CacheInventory } from '../targets/cacheInventory.js'
+import type { TargetStatements } from '../targets/createTargetStatements.js'
 import type { Target } from '../targets/target.js'
 import { assignedTargets } from './assignedTargets.js'
 import type { CacheLocations } from './createCacheLocations.js'
@@ -29,6 +30,7 @@
   readonly cacheLocations: CacheLocations
   /** Returns the targets that cache prompts; undefined until the target list is loaded. */
   readonly targets: () => readonly Target[] | undefined
+  readonly statements: Pick<TargetStatements, 'observe' | 'acceptsRequests'>
   readonly peers: RecoveryPeers
   readonly log: DecisionLog
   /** Monotonic clock, in milliseconds. */
@@ -52,7 +54,8 @@
 export function createCacheRecovery(
   options: CacheRecoveryOptions,
 ): CacheRecovery {
-  const { router, inventory, cacheLocations, peers, log, now } = options
+  const { router, inventory, cacheLocations, statements } = options
+  const { peers, log, now } = options
   const stopping = new AbortController()
   const { signal } = stopping
   const isStopped = (): boolean => signal.aborted
@@ -61,8 +64,11 @@
 
   async function ask(target: Target): Promise<void> {
     asked.add(target.id)
-    const prompts = await inventory.list(target)
+    if (!statements.acceptsRequests(target)) return
+    const listing = await inventory.list(target)
     if (isStopped()) return
+    if (listing) statements.observe(target, listing.statement)
+    const prompts = listing?.parts
     if (!prompts) {
       log.write(LogEvent.CacheUnknown, { target: target.id })
       return
--- a/packages/router/src/node/targets/createLeavingTargets.ts
+++ b/packages/router/src/node/targets/createLeavingTargets.ts
@@ -3,7 +3,6 @@
 import type { SharedRecords } from '../peers/createSharedRecords.js'
 import { RecordKind } from '../peers/sharedRecord.js'
 import type { TargetList } from './createTargetList.js'
-import type { ResponseHead } from './responseHead.js'
 import type { Target } from './target.js'
 import { decodeIncarnation, targetIncarnation } from './targetIncarnation.js'
 
@@ -18,8 +17,8 @@
 
 /** Targets that have said in a response that they leave; every router of the fleet learns of them. */
 export interface LeavingTargets {
-  /** Records what the head of a response says. */
-  observe(target: Target, head: ResponseHead): void
+  /** Adds a target until it starts again. */
+  add(target: Target): void
 }
 
 /** Creates the set of leaving targets, which get no new requests from a target list. */
@@ -39,8 +38,8 @@
   })
 
   return {
-    observe(target, { leaving }) {
-      if (!leaving || targetList.isLeaving(target)) return
+    add(target) {
+      if (targetList.isLeaving(target)) return
       records.publish(kind, targetIncarnation(target), [target.id], now())
     },
   }
--- a/packages/router/src/node/targets/createTargetClient.ts
+++ b/packages/router/src/node/targets/createTargetClient.ts
@@ -13,6 +13,7 @@
 import type { Call } from '../callers/call.js'
 import type { ResponseHead } from './responseHead.js'
 import type { Target } from './target.js'
+import type { TargetStatement } from './targetStatement.js'
 import { type TargetFailure, TargetFailureCause } from './targetFailure.js'
 import type { TargetRequestOptions, TargetProtocol } from './targetProtocol.js'
 
@@ -45,8 +46,8 @@
   readonly connectTimeoutMs: number
   /** Milliseconds that an idle connection is kept open. */
   readonly keepAliveTimeoutMs: number
-  /** Called with the head of each response that belongs to its request. */
-  readonly onHead: (target: Target, head: ResponseHead) => void
+  /** Called with what a target says of itself in a response. */
+  readonly onStatement: (target: Target, statement: TargetStatement) => void
 }
 
 const CAUSES: Readonly<Record<ExchangeError, TargetFailureCause>> = {
@@ -134,7 +135,7 @@
     }
     const res = result.value
     const head = protocol.decodeHead(res, call.request.attemptId, isReused)
-    if (head.isForRequest) options.onHead(target, head)
+    if (head.statement) options.onStatement(target, head.statement)
     const failure = findFailure(head)
     if (!failure) return ok({ head, res })
     if (failure.verdict === Verdict.NotRun) drainBody(res)
--- /dev/null
+++ b/packages/router/src/node/targets/createTargetStatements.ts
@@ -0,0 +1,46 @@
+import {
+  createTargetLimits,
+  type TargetLimits,
+  type TargetLimitsOptions,
+} from '../limits/createTargetLimits.js'
+import { createTargetPauses } from '../limits/createTargetPauses.js'
+import {
+  createLeavingTargets,
+  type LeavingTargetsOptions,
+} from './createLeavingTargets.js'
+import type { Target } from './target.js'
+import type { TargetStatement } from './targetStatement.js'
+
+/** Options for {@link createTargetStatements}. */
+export type TargetStatementsOptions = LeavingTargetsOptions &
+  Omit<TargetLimitsOptions, 'pauses'>
+
+/** What targets have said of themselves, and what it means for requests to them. */
+export interface TargetStatements {
+  readonly limits: TargetLimits
+  /** Records what a target says in a response to any call. */
+  observe(target: Target, statement: TargetStatement): void
+  /** Whether a target accepts requests; asked when it is chosen and again when a request is written. */
+  acceptsRequests(target: Target): boolean
+}
+
+/** Creates an empty set of statements. */
+export function createTargetStatements(
+  options: TargetStatementsOptions,
+): TargetStatements {
+  const { targetList } = options
+  const pauses = createTargetPauses(options)
+  const limits = createTargetLimits({ ...options, pauses })
+  const leavingTargets = createLeavingTargets(options)
+  return {
+    limits,
+    observe(target, statement) {
+      const { leaving, pauseS } = statement
+      if (pauseS !== undefined) pauses.observe(target, pauseS)
+      if (leaving) leavingTargets.add(target)
+      limits.observe(target.id, statement)
+    },
+    acceptsRequests: (target) =>
+      !targetList.isLeaving(target) && pauses.waitMs(target) === 0,
+  }
+}
--- a/packages/router/src/node/targets/responseHead.ts
+++ b/packages/router/src/node/targets/responseHead.ts
@@ -1,4 +1,6 @@
-/** Status and statements in the head of a target's response. */
+import type { TargetStatement } from './targetStatement.js'
+
+/** Head of a target's response. */
 export interface ResponseHead {
   readonly status: number
   /** Whether it belongs to the request that was sent on its connection. */
@@ -9,12 +11,6 @@
   readonly wrongTarget: boolean
   /** Whether the response carries the target's signature. */
   readonly signed: boolean
-  /** Whether the target states that it leaves and wants no new requests. */
-  readonly leaving: boolean
-  /** Seconds for which the target wants no requests from this router; not a number if it cannot be read, absent if it names none. */
-  readonly pauseS?: number
-  /** Requests per second that the target takes from the whole fleet; absent if it names no limit. */
-  readonly requestLimitPerS?: number
-  /** Refusals per second beyond which the target falls over; absent if it bears any. */
-  readonly maxRefusalsPerS?: number
+  /** What the target says of itself; absent if another one responded. */
+  readonly statement?: TargetStatement
 }
