Ask a target's statements again as a request is written

What could happen: a request that was placed and waits for its connection (up to 300 ms, longer on a router short of processor time) was written to a target that had said meanwhile that it leaves or wants rest. Cause: what a target says was asked when it is chosen only. Now exchange asks just before it writes.

--- a/packages/daemon/src/node/targets/createTargetClient.ts
+++ b/packages/daemon/src/node/targets/createTargetClient.ts
@@ -36,6 +36,7 @@
   [ExchangeError.Broken]: FailureCode.TargetUnreachable,
   [ExchangeError.TimedOut]: FailureCode.TargetTimeout,
   [ExchangeError.Aborted]: FailureCode.DeadlinePassed,
+  [ExchangeError.Withheld]: FailureCode.TargetUnreachable,
 }
 
 function requestHeaders(
--- a/packages/http-utils/src/node/exchange.ts
+++ b/packages/http-utils/src/node/exchange.ts
@@ -30,6 +30,11 @@
   readonly agent: Agent
   readonly limits: ExchangeLimits
   readonly onSocket?: (socket: Socket) => void
+  /**
+   * Asked when a connection is there, just before the request is written.
+   * @default always true
+   */
+  readonly mayWrite?: () => boolean
 }
 
 /** Why an exchange got no response. */
@@ -40,6 +45,8 @@
   TimedOut = 'silent',
   /** Aborted by the signal: the caller disconnected or the deadline passed. */
   Aborted = 'aborted',
+  /** Not written, as {@link ExchangeOptions.mayWrite} did not allow it. */
+  Withheld = 'withheld',
 }
 
 /** A request without a response. */
@@ -60,6 +67,7 @@
     let progress = AttemptProgress.NothingWritten
     let timer: NodeJS.Timeout | undefined
     let timedOut = false
+    let isWithheld = false
     let response: IncomingMessage | undefined
     const req = request(url, {
       agent,
@@ -78,6 +86,7 @@
     }
 
     function classifyError(): ExchangeError {
+      if (isWithheld) return ExchangeError.Withheld
       if (timedOut) return ExchangeError.TimedOut
       return signal.aborted ? ExchangeError.Aborted : ExchangeError.Broken
     }
@@ -91,6 +100,11 @@
 
     function write(): void {
       if (req.destroyed) return
+      if (options.mayWrite?.() === false) {
+        isWithheld = true
+        req.destroy(new Error('the request was withheld'))
+        return
+      }
       startTimeout(
         limits.firstByteTimeoutMs,
         'the target sent no answer in time',
--- a/packages/router/src/node/callers/createCallPath.ts
+++ b/packages/router/src/node/callers/createCallPath.ts
@@ -71,6 +71,7 @@
     onStatement: (target, statement) => {
       statements.observe(target, statement)
     },
+    acceptsRequests: (target) => statements.acceptsRequests(target),
   })
   const peerRelay = createPeerRelay()
   return {
--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -14,6 +14,7 @@
 import type { FleetLoad } from '../routing/createFleetLoad.js'
 import type { TargetSelector } from '../routing/createTargetSelector.js'
 import type { TargetClient } from '../targets/createTargetClient.js'
+import { TargetFailureCause } from '../targets/targetFailure.js'
 import type { TargetProtocol } from '../targets/targetProtocol.js'
 import type { Call } from './call.js'
 import {
@@ -112,10 +113,11 @@
   }
 
   function mayRetry(call: Call, progress: CallProgress): boolean {
-    const { lastCause = 'unknown', possibleRuns, sends } = progress
+    const { lastCause, possibleRuns, sends } = progress
+    if (lastCause === TargetFailureCause.Withheld) return true
     // No target has got the call, so its first send by a peer is no repetition.
     if (possibleRuns === 0 && peerSender.findPeer(call, progress)) return true
-    return retryCharger.tryCharge(call, sends, lastCause)
+    return retryCharger.tryCharge(call, sends, lastCause ?? 'unknown')
   }
 
   async function dispatch(
--- a/packages/router/src/node/health/classifyFailure.ts
+++ b/packages/router/src/node/health/classifyFailure.ts
@@ -19,6 +19,7 @@
 export function classifyFailure(cause: TargetFailureCause): FailureHandling {
   switch (cause) {
     case TargetFailureCause.Aborted:
+    case TargetFailureCause.Withheld:
       return {
         countsAgainstHealth: false,
         avoidMs: 0,
--- a/packages/router/src/node/routing/createTargetSelector.ts
+++ b/packages/router/src/node/routing/createTargetSelector.ts
@@ -57,6 +57,12 @@
   ): void
 }
 
+/** Causes that say nothing against the cache of a target. */
+const KEEPS_CACHE: ReadonlySet<TargetFailureCause> = new Set([
+  TargetFailureCause.Refused,
+  TargetFailureCause.Withheld,
+])
+
 function keyOf({ request, route }: Call): string | undefined {
   return route.cachesPrompts ? affinityKey(request.promptParts) : undefined
 }
@@ -156,8 +162,8 @@
     },
     recordNotRun(call, { target, reason }, cause) {
       const wasCached = reason === PlacementReason.Cached
-      // A cache target that refuses one request still caches the prompt.
-      if (wasCached && cause === TargetFailureCause.Refused) return
+      // A cache target that does not take one request still caches the prompt.
+      if (wasCached && KEEPS_CACHE.has(cause)) return
       const key = keyOf(call)
       if (key !== undefined) cacheLocations.remove(key, target.id)
     },
--- a/packages/router/src/node/targets/createTargetClient.ts
+++ b/packages/router/src/node/targets/createTargetClient.ts
@@ -48,12 +48,15 @@
   readonly keepAliveTimeoutMs: number
   /** Called with what a target says of itself in a response. */
   readonly onStatement: (target: Target, statement: TargetStatement) => void
+  /** Whether a target accepts requests; asked as a request is written. */
+  readonly acceptsRequests: (target: Target) => boolean
 }
 
 const CAUSES: Readonly<Record<ExchangeError, TargetFailureCause>> = {
   [ExchangeError.Broken]: TargetFailureCause.Broken,
   [ExchangeError.TimedOut]: TargetFailureCause.TimedOut,
   [ExchangeError.Aborted]: TargetFailureCause.Aborted,
+  [ExchangeError.Withheld]: TargetFailureCause.Withheld,
 }
 
 const SUCCESS_FROM = 200
@@ -62,10 +65,11 @@
 function toTargetFailure(failure: ExchangeFailure): TargetFailure {
   const { error, progress, message } = failure
   const isUnsent = progress === AttemptProgress.NothingWritten
-  const cause =
-    isUnsent && error !== ExchangeError.Aborted
-      ? TargetFailureCause.Unreachable
-      : CAUSES[error]
+  const isUnreachable =
+    isUnsent &&
+    error !== ExchangeError.Aborted &&
+    error !== ExchangeError.Withheld
+  const cause = isUnreachable ? TargetFailureCause.Unreachable : CAUSES[error]
   return { verdict: verdictOfAttempt(progress), cause, message }
 }
 
@@ -126,6 +130,7 @@
       onSocket: (socket) => {
         isReused = agent.recordConnection(socket, address)
       },
+      mayWrite: () => options.acceptsRequests(target),
     })
     if (result.isErr()) {
       // If one connection is half-open, the others to the target may be too.
--- a/packages/router/src/node/targets/targetFailure.ts
+++ b/packages/router/src/node/targets/targetFailure.ts
@@ -16,6 +16,8 @@
   WrongTarget = 'wrong-target',
   /** The response belongs to another request. */
   ForeignResponse = 'foreign-answer',
+  /** Not written, as the target had said meanwhile that it takes no requests. */
+  Withheld = 'withheld',
   /** The response lacks the target's signature. */
   Unsigned = 'unsigned',
 }
