--- a/packages/router/src/node/limits/createTargetPauses.ts
+++ b/packages/router/src/node/limits/createTargetPauses.ts
@@ -46,7 +46,11 @@
       const pauseMs = Math.min(pauseS, MAX_PAUSE_S) * MS_PER_S
       if (pauseMs <= waitMs(target)) return
       untilMs.set(target, now() + pauseMs)
-      log.write(LogEvent.TargetPaused, { target: target.id, ms: pauseMs })
+      log.write(LogEvent.TargetPaused, {
+        target: target.id,
+        startedAtMs: target.startedAtMs,
+        ms: pauseMs,
+      })
     },
     waitMs,
   }
--- a/packages/router/src/node/targets/createLeavingTargets.ts
+++ b/packages/router/src/node/targets/createLeavingTargets.ts
@@ -29,11 +29,16 @@
   const kind = RecordKind.TargetLeaving
 
   records.onChange(kind, () => {
-    for (const { key, value } of records.list(kind)) {
+    for (const { key, value, origin, observedAtMs } of records.list(kind)) {
       const start = decodeIncarnation(key, value[0] ?? key)
       if (targetList.isLeaving(start)) continue
       targetList.markLeaving(start)
-      log.write(LogEvent.TargetLeaving, { target: start.id })
+      log.write(LogEvent.TargetLeaving, {
+        target: start.id,
+        startedAtMs: start.startedAtMs,
+        origin,
+        ageMs: Math.round(now() - observedAtMs),
+      })
     }
   })
 
