--- a/packages/http-utils/src/node/__tests__/exchange.test.ts
+++ b/packages/http-utils/src/node/__tests__/exchange.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { createServer, type Socket } from 'node:net'
 import { describe, it } from 'node:test'
+import { AttemptProgress } from '@auburnbay/core/verdict/attemptProgress'
 import { ConnectionPool } from '../connectionPool.js'
 import { exchange } from '../exchange.js'
 import { listen } from '../listen.js'
@@ -58,4 +59,20 @@
       assert.notEqual(body, 'part')
     }
   })
+
+  it('fails with nothing written for a port out of range', async () => {
+    const agent = new ConnectionPool(1_000)
+    const failure = await exchange({
+      url: 'http://127.0.0.1:99999',
+      method: 'GET',
+      headers: [],
+      body: Buffer.alloc(0),
+      signal: new AbortController().signal,
+      agent,
+      limits: { connectTimeoutMs: 5_000, firstByteTimeoutMs: 5_000 },
+    })
+    agent.destroy()
+    const { progress } = failure._unsafeUnwrapErr()
+    assert.equal(progress, AttemptProgress.NothingWritten)
+  })
 })
--- a/packages/http-utils/src/node/__tests__/requestBytes.test.ts
+++ b/packages/http-utils/src/node/__tests__/requestBytes.test.ts
@@ -89,4 +89,10 @@
     }
     assert.ok((await pending).isErr())
   })
+
+  it('fails for a port out of range', async () => {
+    const url = 'http://127.0.0.1:99999'
+    const timeoutMs = TIMEOUT_MS
+    assert.ok((await requestBytes({ method: 'GET', url, timeoutMs })).isErr())
+  })
 })
--- a/packages/http-utils/src/node/exchange.ts
+++ b/packages/http-utils/src/node/exchange.ts
@@ -58,9 +58,23 @@
   readonly message: string
 }
 
-/** Sends a request and resolves once the response headers arrive. */
+/** Sends a request and resolves once the response headers arrive; an invalid URL is a failure like any other. */
 export function exchange(
   options: ExchangeOptions,
+): Promise<Result<IncomingMessage, ExchangeFailure>> {
+  return startExchange(options).catch((error: unknown) =>
+    err({
+      error: ExchangeError.Broken,
+      progress: AttemptProgress.NothingWritten,
+      reusedConnection: false,
+      message: String(error),
+    }),
+  )
+}
+
+/** Rejects if no request can be created for the URL. */
+function startExchange(
+  options: ExchangeOptions,
 ): Promise<Result<IncomingMessage, ExchangeFailure>> {
   const { url, path, method, headers, body, signal, agent, limits } = options
   return new Promise((resolve) => {
--- a/packages/http-utils/src/node/requestBytes.ts
+++ b/packages/http-utils/src/node/requestBytes.ts
@@ -37,13 +37,31 @@
 /** Maximum duration of a request in multiples of its timeout, even if bytes keep arriving. */
 const MAX_TIMEOUTS = 5
 
-/** Sends a request and reads the complete response. */
+/** Sends a request and reads the complete response; an invalid URL is an error like any other. */
 export function requestBytes(
   options: RequestBytesOptions,
+): Promise<Result<BytesResponse, RequestError>> {
+  return sendRequest(options).catch((error: unknown) =>
+    err({ message: `${options.method} ${options.url}: ${String(error)}` }),
+  )
+}
+
+/** Rejects if no request can be created for the URL. */
+function sendRequest(
+  options: RequestBytesOptions,
 ): Promise<Result<BytesResponse, RequestError>> {
   const { maxBytes = MAX_RESPONSE_BYTES } = options
   return new Promise((resolve) => {
     const aborter = new AbortController()
+    const req = requestUrl(options.url, {
+      method: options.method,
+      agent: options.agent,
+      signal: aborter.signal,
+      headers: {
+        ...(options.body && { 'content-length': options.body.length }),
+        ...options.headers,
+      },
+    })
     const abort = (): void => {
       aborter.abort()
     }
@@ -61,15 +79,6 @@
     const fail = (message: string): void => {
       finish(err({ message: `${options.method} ${options.url}: ${message}` }))
     }
-    const req = requestUrl(options.url, {
-      method: options.method,
-      agent: options.agent,
-      signal: aborter.signal,
-      headers: {
-        ...(options.body && { 'content-length': options.body.length }),
-        ...options.headers,
-      },
-    })
     req.once('socket', (socket) => options.onSocket?.(socket))
     req.on('error', (error) => {
       fail(error.message)
--- a/packages/router/src/node/health/createReachability.ts
+++ b/packages/router/src/node/health/createReachability.ts
@@ -94,8 +94,11 @@
       if (!isCutOff && !isSuspicious()) return
       isChecking = true
       checkedAtMs = now()
-      await check()
-      isChecking = false
+      try {
+        await check()
+      } finally {
+        isChecking = false
+      }
     },
   }
 }
