Forward streams that another target may end without their length

What callers saw: a stream with a Content-Length broke off and another target ended it, at another length. The caller took the first length: it read the head of its next response as the end of the stream, or saw the stream complete before its last event (ORDER, MIXED; a report of another operator). Cause: the length of the first target's response was passed on, also where the route lets another target go on. Now such a stream is forwarded in chunks. Streams that only one target may write, and errors, keep their length. interruptedStreams.test: first responses in chunks, with a length and with neither, before eight kinds of error of the next target and before a longer run: 1 of 27 red before (with a length, longer run); no text or head of an error got into a stream before either.

--- a/packages/router/src/node/callers/createResponseRelay.ts
+++ b/packages/router/src/node/callers/createResponseRelay.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http'
 import { hasLength } from '@auburnbay/http-utils/hasLength'
+import { withoutHeaders } from '@auburnbay/http-utils/withoutHeaders'
 import type { TargetResponse } from '../targets/createTargetClient.js'
 import type { TargetProtocol } from '../targets/targetProtocol.js'
 import type { Call } from './call.js'
@@ -15,6 +16,8 @@
 /** Longest event of a stream; one event holds a few tokens. */
 const MAX_EVENT_BYTES = 1024 * 1024
 
+const LENGTH_HEADERS = new Set(['content-length'])
+
 /** Status of a response that continues an interrupted stream. */
 const RESUMED_STATUS = 200
 
@@ -45,9 +48,17 @@
   const splitter = createEventSplitter()
   let headersSent = false
 
-  function sendHeaders({ head, res: from }: TargetResponse): void {
+  function sendHeaders(response: TargetResponse): void {
+    const { head, res: from } = response
     headersSent = true
-    res.writeHead(head.status, protocol.responseHeaders(from.rawHeaders))
+    const headers = protocol.responseHeaders(from.rawHeaders)
+    res.writeHead(
+      head.status,
+      // Another target may end the stream, at another length.
+      isResumable(route) && isSuccess(response)
+        ? withoutHeaders(headers, LENGTH_HEADERS)
+        : headers,
+    )
   }
 
   /**
