Reset the connection of an HTTP/1.0 caller whose response breaks off

Cause: the connection was closed in the same way for every caller; only chunks or a length tell an HTTP/1.1 caller that bytes are missing.

--- a/packages/router/src/node/callers/sendFailure.ts
+++ b/packages/router/src/node/callers/sendFailure.ts
@@ -2,6 +2,13 @@
 import type { RequestFailure } from '@auburnbay/core/verdict/requestFailure'
 import { RELAY_VERDICT_HEADER } from '../peers/relayedRequest.js'
 
+/** Ends a response such that it does not look complete. */
+function breakOff(res: ServerResponse): void {
+  // Without chunks, a connection that is closed in order ends the body.
+  if (res.req.httpVersionMinor === 0) res.socket?.resetAndDestroy()
+  res.destroy()
+}
+
 /** Sends an error response, to a peer with its verdict, or closes the connection if headers were already sent. */
 export function sendFailure(
   res: ServerResponse,
@@ -9,7 +16,7 @@
   isRelayed: boolean,
 ): void {
   if (res.headersSent) {
-    res.destroy()
+    breakOff(res)
     return
   }
   const { code, message, retryAfterS, status, verdict } = failure
