Do not tell callers that a request did not run because of its target's status alone

Cause: only a success without its signature counted as no answer; other statuses were forwarded whatever they promise. Now such a response counts as one that may have run: 502, or another target where the route allows.

--- a/packages/router/src/node/health/classifyFailure.ts
+++ b/packages/router/src/node/health/classifyFailure.ts
@@ -20,6 +20,7 @@
   switch (cause) {
     case TargetFailureCause.Aborted:
     case TargetFailureCause.Withheld:
+    case TargetFailureCause.TurnedAway:
       return {
         countsAgainstHealth: false,
         avoidMs: 0,
@@ -42,6 +43,7 @@
     case TargetFailureCause.TimedOut:
     case TargetFailureCause.ForeignResponse:
     case TargetFailureCause.Unsigned:
+    case TargetFailureCause.Unstated:
       return {
         countsAgainstHealth: true,
         avoidMs: 0,
--- a/packages/router/src/node/targets/createTargetClient.ts
+++ b/packages/router/src/node/targets/createTargetClient.ts
@@ -59,6 +59,13 @@
   [ExchangeError.Withheld]: TargetFailureCause.Withheld,
 }
 
+/** Statuses that tell a caller that its request has not run; a target may send them after a run. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 429, 503])
+/** Causes for which the connections of a target are not used again. */
+const DISTRUSTED: ReadonlySet<TargetFailureCause> = new Set([
+  TargetFailureCause.ForeignResponse,
+  TargetFailureCause.Unsigned,
+])
 const SUCCESS_FROM = 200
 const SUCCESS_BELOW = 300
 
@@ -94,6 +101,14 @@
       cause: TargetFailureCause.Refused,
       message,
     }
+  if (NOT_RUN_STATUSES.has(status))
+    return {
+      verdict: Verdict.MayHaveRun,
+      cause: Number.isFinite(head.statement?.pauseS)
+        ? TargetFailureCause.TurnedAway
+        : TargetFailureCause.Unstated,
+      message,
+    }
   const isSuccess = status >= SUCCESS_FROM && status < SUCCESS_BELOW
   if (!isSuccess || head.signed) return undefined
   return {
@@ -143,7 +158,7 @@
     if (head.statement) options.onStatement(target, head.statement)
     const failure = findFailure(head)
     if (!failure) return ok({ head, res })
-    if (failure.verdict === Verdict.NotRun) drainBody(res)
+    if (!DISTRUSTED.has(failure.cause)) drainBody(res)
     else {
       res.destroy()
       agent.retireConnections(address)
--- a/packages/router/src/node/targets/targetFailure.ts
+++ b/packages/router/src/node/targets/targetFailure.ts
@@ -16,6 +16,10 @@
   WrongTarget = 'wrong-target',
   /** The response belongs to another request. */
   ForeignResponse = 'foreign-answer',
+  /** Status of a refusal, without the statement that the request did not run. */
+  Unstated = 'unstated',
+  /** The same from a target that wants no requests for a time. */
+  TurnedAway = 'turned-away',
   /** Not written, as the target had said meanwhile that it takes no requests. */
   Withheld = 'withheld',
   /** The response lacks the target's signature. */
