Do not take a start that is listed late for a new one

An older entry of each was listed, say after the restore of a log, when it made its statement, so the statement was filed under an earlier start; its own entry, listed afterwards, counted as a new start and ended it. The same holds for a target that starts again while the log is away and then says that it leaves. Cause: starts of the list were compared with each other only, although the list lags behind the targets. Now a start ends a statement only if it is later than the moment of the statement, by time of day. Shared records keep their form. If the clock of a router runs ahead, a target that starts again within that time of its statement counts as the one before: for the time of its rest, or until its next start.

--- a/packages/router/src/node/callers/createCallPath.ts
+++ b/packages/router/src/node/callers/createCallPath.ts
@@ -42,6 +42,8 @@
   readonly metrics: RouterMetrics
   /** Monotonic clock, in milliseconds. */
   readonly now: () => number
+  /** Time of day, in milliseconds since the epoch. */
+  readonly timeOfDay: () => number
 }
 
 /** The path of a call to its targets. */
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -167,6 +167,7 @@
     log,
     metrics,
     now,
+    timeOfDay: Date.now,
   })
   const cacheRecovery = createCacheRecovery({
     router: settings.router.id,
--- a/packages/router/src/node/limits/createTargetPauses.ts
+++ b/packages/router/src/node/limits/createTargetPauses.ts
@@ -8,6 +8,8 @@
   readonly log: DecisionLog
   /** Monotonic clock, in milliseconds. */
   readonly now: () => number
+  /** Time of day, in milliseconds since the epoch. */
+  readonly timeOfDay: () => number
 }
 
 /** Times for which targets want no requests from this router. */
@@ -26,7 +28,7 @@
 
 /** Creates pauses without an observation. */
 export function createTargetPauses(options: TargetPausesOptions): TargetPauses {
-  const { log, now } = options
+  const { log, now, timeOfDay } = options
   const untilMs = createStartStatements<number>(MAX_TARGETS)
   let hasRejected = false
 
@@ -45,7 +47,7 @@
       }
       const pauseMs = Math.min(pauseS, MAX_PAUSE_S) * MS_PER_S
       if (pauseMs <= waitMs(target)) return
-      untilMs.set(target, now() + pauseMs)
+      untilMs.set(target, now() + pauseMs, timeOfDay())
       log.write(LogEvent.TargetPaused, {
         target: target.id,
         startedAtMs: target.startedAtMs,
--- a/packages/router/src/node/targets/__tests__/createTargetList.test.ts
+++ b/packages/router/src/node/targets/__tests__/createTargetList.test.ts
@@ -37,7 +37,7 @@
     const list = createTargetList(REJOIN_MS, () => DRAIN_MS)
     list.set(target('a', { startedAtMs: 1 }))
     const fingerprint = list.fingerprint()
-    list.markLeaving({ id: 'a', startedAtMs: 1 })
+    list.markLeaving({ id: 'a', startedAtMs: 1 }, 1)
     list.set(target('a', { startedAtMs: 1, slots: 5 }))
     assert.deepEqual(list.ready('s', NOW_MS), [])
     list.set(target('a', { startedAtMs: 1 }))
--- a/packages/router/src/node/targets/createLeavingTargets.ts
+++ b/packages/router/src/node/targets/createLeavingTargets.ts
@@ -13,6 +13,8 @@
   readonly log: DecisionLog
   /** Monotonic clock, in milliseconds. */
   readonly now: () => number
+  /** Time of day, in milliseconds since the epoch. */
+  readonly timeOfDay: () => number
 }
 
 /** Targets that have said in a response that they leave; every router of the fleet learns of them. */
@@ -25,19 +27,20 @@
 export function createLeavingTargets(
   options: LeavingTargetsOptions,
 ): LeavingTargets {
-  const { records, targetList, log, now } = options
+  const { records, targetList, log, now, timeOfDay } = options
   const kind = RecordKind.TargetLeaving
 
   records.onChange(kind, () => {
     for (const { key, value, origin, observedAtMs } of records.list(kind)) {
       const start = decodeIncarnation(key, value[0] ?? key)
       if (targetList.isLeaving(start)) continue
-      targetList.markLeaving(start)
+      const ageMs = now() - observedAtMs
+      targetList.markLeaving(start, timeOfDay() - ageMs)
       log.write(LogEvent.TargetLeaving, {
         target: start.id,
         startedAtMs: start.startedAtMs,
         origin,
-        ageMs: Math.round(now() - observedAtMs),
+        ageMs: Math.round(ageMs),
       })
     }
   })
--- a/packages/router/src/node/targets/createStartStatements.ts
+++ b/packages/router/src/node/targets/createStartStatements.ts
@@ -8,18 +8,21 @@
 export interface StartStatements<T> {
   /** Returns what a target said since its last known start; undefined if it said nothing. */
   find(target: TargetStart): T | undefined
-  set(target: TargetStart, statement: T): void
+  /** @param saidAtMs Time of day, in milliseconds since the epoch. */
+  set(target: TargetStart, statement: T, saidAtMs: number): void
 }
 
 interface KnownStatement<T> {
-  /** Start of the target, in milliseconds since the epoch; negative infinity if unknown. */
+  /** Listed start of the target, in milliseconds since the epoch; negative infinity if unknown. */
   readonly startedAtMs: number
+  readonly saidAtMs: number
   readonly statement: T
 }
 
 /**
  * Creates an empty set of statements. Only a later start of its target ends a
- * statement: an entry with an earlier start, or without one, may be outdated.
+ * statement, one after the target has said it: the list may be older than the
+ * target that responds, and name its start only afterwards.
  * @param max Targets whose statements are remembered.
  */
 export function createStartStatements<T>(max: number): StartStatements<T> {
@@ -30,15 +33,19 @@
     startedAtMs = -Infinity,
   }: TargetStart): KnownStatement<T> | undefined {
     const known = statements.get(id)
-    return known && startedAtMs <= known.startedAtMs ? known : undefined
+    if (!known) return undefined
+    const lastMs = Math.max(known.startedAtMs, known.saidAtMs)
+    return startedAtMs > lastMs ? undefined : known
   }
 
   return {
     find: (target) => findKnown(target)?.statement,
-    set(target, statement) {
+    set(target, statement, saidAtMs) {
       const { id, startedAtMs = -Infinity } = target
+      const knownMs = findKnown(target)?.startedAtMs ?? -Infinity
       statements.set(id, {
-        startedAtMs: findKnown(target)?.startedAtMs ?? startedAtMs,
+        startedAtMs: Math.max(knownMs, startedAtMs),
+        saidAtMs,
         statement,
       })
     },
--- a/packages/router/src/node/targets/createTargetList.ts
+++ b/packages/router/src/node/targets/createTargetList.ts
@@ -42,8 +42,11 @@
   readonly revision: number
   set(target: Target): void
   remove(id: string, nowMs: number): void
-  /** Excludes a target from {@link ready} until it starts again, whatever its entry says. */
-  markLeaving(target: TargetStart): void
+  /**
+   * Excludes a target from {@link ready} until it starts again, whatever its entry says.
+   * @param saidAtMs Time of day at which it said that it leaves, in milliseconds since the epoch.
+   */
+  markLeaving(target: TargetStart, saidAtMs: number): void
   isLeaving(target: TargetStart): boolean
   /** Starts the rejoin window after an outage, in which removed targets stay as their entries may return. */
   startRejoinWindow(nowMs: number): void
@@ -151,8 +154,8 @@
     },
     set,
     remove,
-    markLeaving(target) {
-      leaving.set(target, true)
+    markLeaving(target, saidAtMs) {
+      leaving.set(target, true, saidAtMs)
       invalidateIndexes()
     },
     isLeaving,
