Count what targets say that keeps requests away, and the sends withheld for it

Log lines name single targets; whether a router hears such statements at all, and how often a request is not written for one, showed nowhere.

--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -73,7 +73,7 @@
 
 /** Creates a dispatcher. */
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
-  const { selector, harmfulTraits, now } = options
+  const { selector, harmfulTraits, metrics, now } = options
   const retryCharger = createRetryCharger(options)
   const reportCrash = createCrashReporter({
     ...options,
@@ -114,7 +114,10 @@
 
   function mayRetry(call: Call, progress: CallProgress): boolean {
     const { lastCause, possibleRuns, sends } = progress
-    if (lastCause === TargetFailureCause.Withheld) return true
+    if (lastCause === TargetFailureCause.Withheld) {
+      metrics.recordWithheld(call.service)
+      return true
+    }
     // No target has got the call, so its first send by a peer is no repetition.
     if (possibleRuns === 0 && peerSender.findPeer(call, progress)) return true
     return retryCharger.tryCharge(call, sends, lastCause ?? 'unknown')
--- a/packages/router/src/node/metrics/createRouterMetrics.ts
+++ b/packages/router/src/node/metrics/createRouterMetrics.ts
@@ -67,6 +67,18 @@
     buckets: LATENCY_BUCKETS_S,
     registers,
   })
+  const statements = new Counter({
+    name: 'auburnbay_target_statements_total',
+    help: 'Responses in which a target said that it leaves or wants rest.',
+    labelNames: ['kind'],
+    registers,
+  })
+  const withheld = new Counter({
+    name: 'auburnbay_withheld_sends_total',
+    help: 'Sends that were placed but not written, as the target takes no requests, by service.',
+    labelNames: ['service'],
+    registers,
+  })
   return {
     recordRequest(route, status, seconds) {
       requests.inc({ route, status })
@@ -82,6 +94,12 @@
       placements.inc({ service, reason })
       prefillTokens.inc({ service, reason }, tokens)
     },
+    recordStatement(kind) {
+      statements.inc({ kind })
+    },
+    recordWithheld(service) {
+      withheld.inc({ service })
+    },
     watchFleet(read) {
       for (const [field, [name, help]] of Object.entries(FLEET_GAUGES)) {
         const gauge: Gauge = new Gauge({
--- a/packages/router/src/node/metrics/routerMetrics.ts
+++ b/packages/router/src/node/metrics/routerMetrics.ts
@@ -8,6 +8,12 @@
   readonly loadAgeS: number
 }
 
+/** What targets say that keeps requests away from them. */
+export enum StatementKind {
+  Leaving = 'leaving',
+  Pause = 'pause',
+}
+
 /** Metrics of a router. */
 export interface RouterMetrics {
   /** Records a finished request; `status` is 0 if the caller disconnected. */
@@ -18,6 +24,10 @@
   recordResend(service: string, cause: string): void
   /** Records why a send was placed on its target and the prompt tokens to prefill there. */
   recordPlacement(service: string, reason: string, prefillTokens: number): void
+  /** Records that a target said that it leaves or wants rest. */
+  recordStatement(kind: StatementKind): void
+  /** Records a send that was not written, as its target takes no requests. */
+  recordWithheld(service: string): void
   /** Exports what `read` returns whenever the metrics are read. */
   watchFleet(read: () => FleetStatus): void
   /** Returns all metrics in the Prometheus text format. */
--- a/packages/router/src/node/targets/createTargetStatements.ts
+++ b/packages/router/src/node/targets/createTargetStatements.ts
@@ -4,6 +4,7 @@
   type TargetLimitsOptions,
 } from '../limits/createTargetLimits.js'
 import { createTargetPauses } from '../limits/createTargetPauses.js'
+import { type RouterMetrics, StatementKind } from '../metrics/routerMetrics.js'
 import {
   createLeavingTargets,
   type LeavingTargetsOptions,
@@ -13,7 +14,9 @@
 
 /** Options for {@link createTargetStatements}. */
 export type TargetStatementsOptions = LeavingTargetsOptions &
-  Omit<TargetLimitsOptions, 'pauses'>
+  Omit<TargetLimitsOptions, 'pauses'> & {
+    readonly metrics: Pick<RouterMetrics, 'recordStatement'>
+  }
 
 /** What targets have said of themselves, and what it means for requests to them. */
 export interface TargetStatements {
@@ -28,7 +31,7 @@
 export function createTargetStatements(
   options: TargetStatementsOptions,
 ): TargetStatements {
-  const { targetList } = options
+  const { targetList, metrics } = options
   const pauses = createTargetPauses(options)
   const limits = createTargetLimits({ ...options, pauses })
   const leavingTargets = createLeavingTargets(options)
@@ -36,8 +39,14 @@
     limits,
     observe(target, statement) {
       const { leaving, pauseS } = statement
-      if (pauseS !== undefined) pauses.observe(target, pauseS)
-      if (leaving) leavingTargets.add(target)
+      if (pauseS !== undefined) {
+        pauses.observe(target, pauseS)
+        metrics.recordStatement(StatementKind.Pause)
+      }
+      if (leaving) {
+        leavingTargets.add(target)
+        metrics.recordStatement(StatementKind.Leaving)
+      }
       limits.observe(target.id, statement)
     },
     acceptsRequests: (target) =>
