--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -105,7 +105,8 @@
     routers.push(router)
   }
 
-  const ready = (router) => isReady(`http://${router.ip}:${readinessPort}/v1/readiness`)
+  const ready = (router) =>
+    isReady(`http://${router.ip}:${readinessPort}/v1/readiness`)
 
   return {
     net,
@@ -121,7 +122,8 @@
       const untilMs = performance.now() + limitMs
       for (const router of routers)
         while (!(await ready(router))) {
-          if (performance.now() > untilMs) throw new Error('no router got ready')
+          if (performance.now() > untilMs)
+            throw new Error('no router got ready')
           await sleep(100)
         }
     },
--- a/review/lib/settings.mjs
+++ b/review/lib/settings.mjs
@@ -20,10 +20,7 @@
 
 /** Renders the template with the platform's fields: values and plain sections. */
 export function renderSettings(fields) {
-  const template = readFileSync(
-    `${ROOT}deploy/settings.template.json`,
-    'utf8',
-  )
+  const template = readFileSync(`${ROOT}deploy/settings.template.json`, 'utf8')
   return template
     .replace(/\{\{#([\w.-]+)\}\}(.*?)\{\{\/\1\}\}/g, (_, path, text) =>
       lookUp(fields, path) ? text : '',
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -35,7 +35,7 @@
 
 function decode(bytes) {
   const records = []
-  for (let at = 0; at + 5 <= bytes.length; ) {
+  for (let at = 0; at + 5 <= bytes.length;) {
     const end = at + 4 + bytes.readUInt32BE(at)
     const keyEnd = at + 5 + bytes.readUInt8(at + 4)
     records.push([
@@ -79,7 +79,11 @@
       } else if (url.pathname === '/v1/log-read') {
         const from = Number(query.get('from'))
         const untilMs = performance.now() + Number(query.get('wait-ms') ?? 0)
-        while (topic.end <= from && performance.now() < untilMs && !res.destroyed)
+        while (
+          topic.end <= from &&
+          performance.now() < untilMs &&
+          !res.destroyed
+        )
           await new Promise((resolve) => setTimeout(resolve, 5))
         if (from > topic.end) res.statusCode = 410
         res.end(from > topic.end ? undefined : topic.read(from))
