--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,129 +1,147 @@
-// One replica spoils a few of its responses; the routers that read them end.
-import { KeptConnection } from '../lib/client.mjs'
+// A router that reaches no replica relays streams through a peer. When the peer
+// ends, it goes on with them at replicas of another software version.
+import { KeptConnection, send } from '../lib/client.mjs'
 import { configuration, route } from '../lib/configuration.mjs'
 import { sleep, startFleet } from '../lib/fleet.mjs'
 import { runCase, TROUBLE } from '../lib/record.mjs'
 import { startReplica } from '../lib/replica.mjs'
 
-const ROUTERS = 3
-const CLIENTS_PER_ROUTER = 20
-/** Part of the responses of one replica that are spoiled: `garble`, x = 0.02. */
-const SPOILED_EVERY = 50
-/** Time for which the replica spoils responses: `garble`, for_s = 5.5. */
-const SPOILED_MS = 5_500
-const CONTACT_MS = 3_000
-/** "more than three times" */
-const MAX_CLOSED = 3
+const VERSIONS = ['v1', 'v2', 'v3']
+const REPLICAS_PER_VERSION = 3
+/** Clients of the other router, with whose requests it keeps connections to replicas. */
+const OTHER_CLIENTS = 140
+const FEWER_CLIENTS = 8
+/** Time from the end of the partition to the end of the peer. */
+const RUN_ON_MS = 2_000
+const STREAMS = 16
+const EVENTS = 90
+const EVENT_MS = 100
+const SHORT_EVENTS = 3
+const SHORT_EVENT_MS = 20
+/** "for seconds" */
+const PARTITION_MS = 3_000
+/** "More than two streams" */
+const MAX_STREAMS = 2
+const QUIET_MS = 500
+const WARM_UP_MS = 11_000
 
 await runCase(import.meta.url, async (record, onEnd) => {
-  const fleet = await startFleet({ routers: ROUTERS })
+  const fleet = await startFleet({ routers: 2 })
   onEnd(() => fleet.close())
-  let spoils = false
-  let answered = 0
+  const [router, peer] = fleet.routers
 
-  /** Sends a head with a blank before a colon, which is no HTTP, and bytes without end. */
-  function spoil({ req, run }) {
-    const { socket } = req
-    const head = [
-      'HTTP/1.1 200 OK',
-      `X-Attempt-Id: ${run.id}`,
-      'X-Replica-Signature : sig',
-      'X-Replica-Signature: sig',
-    ]
-    socket.write(`${head.join('\r\n')}\r\n\r\n`)
-    const chunk = Buffer.alloc(64 * 1024, 'x')
-    const pump = () => {
-      if (!socket.destroyed) socket.write(chunk, () => setImmediate(pump))
+  async function respond({ req, res, signed, run }, version) {
+    const isShort = run.url.startsWith('/tags/')
+    const [events, eventMs] = isShort
+      ? [SHORT_EVENTS, SHORT_EVENT_MS]
+      : [EVENTS, EVENT_MS]
+    const from = Number(run.lastEventId ?? 0)
+    if (!isShort)
+      record.line(`${run.id} runs at ${run.replica} (${version}) from ${from}`)
+    res.writeHead(200, { ...signed, 'Content-Type': 'text/event-stream' })
+    res.flushHeaders()
+    for (let event = from + 1; event <= events && !res.destroyed; event += 1) {
+      res.write(`id: ${event}\ndata: ${version}\n\n`)
+      await sleep(eventMs)
     }
-    pump()
+    res.end()
+    return true
   }
 
   const replicas = []
-  for (let i = 0; i < 3; i += 1) {
-    const isFaulty = i === 2
-    const replica = await startReplica(`${fleet.net}.${100 + i}`, `i-${i}`, {
-      slots: 24,
-      respond(call) {
-        if (!isFaulty || !spoils) return false
-        answered += 1
-        if (answered % SPOILED_EVERY !== 0) return false
-        record.line(`i-${i} spoils the response to ${call.run.id}`)
-        spoil(call)
-        return new Promise((resolve) => {
-          call.req.socket.once('close', () => resolve(true))
-        })
-      },
-    })
-    onEnd(() => replica.close())
-    replicas.push(replica)
-    fleet.store.put('keyed.servers', replica.id, replica.entry)
+  for (const version of VERSIONS)
+    for (let i = 0; i < REPLICAS_PER_VERSION; i += 1) {
+      const id = `i-${version}-${i}`
+      const host = `${fleet.net}.${100 + replicas.length}`
+      const replica = await startReplica(host, id, {
+        service: 'engines',
+        slots: 64,
+        version,
+        respond: (call) => respond(call, version),
+      })
+      onEnd(() => replica.close())
+      replicas.push(replica)
+      fleet.store.put('keyed.servers', id, replica.entry)
+    }
+  const streaming = {
+    'route-kind': 'streaming',
+    'timeout-ms': 12_000,
+    'target-latency-ms': 400,
+    'target-gap-ms': 300,
   }
-  const sound = new Set(['i-0', 'i-1'])
   fleet.store.put(
     'keyed.op',
     'config',
-    configuration(1, [route('tiles', '/tiles/', 'app')]),
+    configuration(1, [
+      route('summaries', '/summaries/', 'engines', {
+        ...streaming,
+        'stream-resumption': true,
+        'max-attempts': 2,
+      }),
+      route('tags', '/tags/', 'engines', { ...streaming, 'max-attempts': 1 }),
+    ]),
   )
   await fleet.waitUntilReady()
-  for (const router of fleet.routers)
-    router.onExit = () => {
-      const { code, signal } = router.exit
-      record.line(`${router.name} ended by itself: ${code ?? signal}`)
-      router.endedAtMs ??= router.exit.atMs
-      // The platform starts a process that has ended again after a short delay.
-      setTimeout(() => fleet.restart(router), 1_000)
-    }
-  onEnd(() => {
-    for (const router of fleet.routers) router.onExit = undefined
-  })
 
-  const seen = []
-  let stopped = false
-  async function runClient(router) {
+  let clients = OTHER_CLIENTS
+  async function sendTags(index) {
     const connection = new KeptConnection()
-    while (!stopped) {
-      const response = await connection.send(router, '/tiles/1')
-      seen.push(response)
+    while (index < clients) {
+      await connection.send(peer, '/tags/1', { method: 'POST', body: 'tag' })
+      await sleep(100 + 100 * Math.random())
+    }
+    connection.close()
+  }
+  const others = Array.from({ length: OTHER_CLIENTS }, (_, i) => sendTags(i))
+
+  async function readStream(index) {
+    // A client comes again after a refusal, as it says when.
+    for (let attempt = 0; attempt < 3; attempt += 1) {
+      const response = await send(router, `/summaries/${index}`, {
+        method: 'POST',
+        body: `prompt ${index}`,
+        headers: { 'X-Deadline-Ms': '12000' },
+      })
+      const { id, status, text, complete, headers } = response
+      const versions = [...new Set(text.match(/v[123]/g))]
+      const ids = [...text.matchAll(/id: (\d+)/g)].map(([, event]) => event)
       record.line(
-        `${response.id} ${router.name} ${response.status ?? response.error} ${response.ms.toFixed(0)} ms`,
+        `${id} stream ${index}: ${status ?? response.error}, ${ids.length} events, complete ${complete ?? false}, versions ${versions.join()}`,
       )
-      if (response.closed) await sleep(200)
+      if (status !== 503) return versions
+      await sleep(1_000 * Number(headers['retry-after'] ?? 0.5))
     }
-    connection.close()
+    return []
   }
-  const clients = fleet.routers.flatMap((router) =>
-    Array.from({ length: CLIENTS_PER_ROUTER }, () => runClient(router)),
-  )
-  await sleep(2 * CONTACT_MS)
-  record.line('the disruption begins')
-  spoils = TROUBLE
-  await sleep(SPOILED_MS)
-  spoils = false
-  record.line('the disruption ends')
-  await sleep(CONTACT_MS)
-  stopped = true
-  await Promise.all(clients)
 
-  const runs = new Map(
-    replicas.flatMap(({ runs: own }) => own).map((run) => [run.id, run]),
-  )
-  let most = 0
-  for (const router of fleet.routers) {
-    // Only requests of the first life: until then nothing had happened to the machine.
-    const lost = seen.filter(
-      ({ id, kept, closed, router: name, sentAtMs }) =>
-        name === router.name &&
-        closed &&
-        kept &&
-        sentAtMs <= (router.endedAtMs ?? Infinity) &&
-        sound.has(runs.get(id)?.replica),
-    )
-    most = Math.max(most, lost.length)
+  await sleep(WARM_UP_MS)
+  if (TROUBLE) {
     record.line(
-      `${router.name}: ${lost.length} kept connections closed without an answer to a request that a sound replica ran`,
+      'the routers are partitioned from the replicas: new connections are refused, open ones live on',
     )
+    for (const replica of replicas) replica.refuseConnections()
   }
-  const served = seen.filter(({ status }) => status === 200).length
-  record.line(`${seen.length} requests, ${served} served`)
-  return most > MAX_CLOSED
+  clients = FEWER_CLIENTS
+  // The router has little traffic until then.
+  const streams = [readStream(0)]
+  await sleep(QUIET_MS)
+  for (let i = 1; i < STREAMS; i += 1) streams.push(readStream(i))
+  await sleep(PARTITION_MS - QUIET_MS)
+  if (TROUBLE) {
+    for (const replica of replicas) await replica.acceptConnections()
+    record.line('the partition ends')
+  }
+  await sleep(RUN_ON_MS)
+  if (TROUBLE) {
+    record.line(`${peer.name} is killed`)
+    peer.child.kill('SIGKILL')
+  }
+  const results = await Promise.all(streams)
+  clients = 0
+  await Promise.all(others)
+  const mixed = results.filter(({ length }) => length > 1)
+  record.line(
+    `${STREAMS} streams; ${mixed.length} hold events from replicas of two software versions`,
+  )
+  return mixed.length > MAX_STREAMS
 })
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,154 +1,129 @@
-// One replica sends a few streams that never end an event, in small chunks; the
-// routers that read them stand still.
-import { Agent } from 'node:http'
-import { send } from '../lib/client.mjs'
+// One replica spoils a few of its responses; the routers that read them end.
+import { KeptConnection } from '../lib/client.mjs'
 import { configuration, route } from '../lib/configuration.mjs'
 import { sleep, startFleet } from '../lib/fleet.mjs'
-import { startFaultyStreams } from '../lib/faultyStreams.mjs'
 import { runCase, TROUBLE } from '../lib/record.mjs'
 import { startReplica } from '../lib/replica.mjs'
 
-const ROUTERS = 2
-/** Time between two notices to a router. */
-const NOTICE_EVERY_MS = 25
-const STREAM_READERS = 4
+const ROUTERS = 3
+const CLIENTS_PER_ROUTER = 20
+/** Part of the responses of one replica that are spoiled: `garble`, x = 0.02. */
+const SPOILED_EVERY = 50
+/** Time for which the replica spoils responses: `garble`, for_s = 5.5. */
+const SPOILED_MS = 5_500
 const CONTACT_MS = 3_000
-/** Time for which the replica is faulty: `garble`, for_s = 5.5. */
-const FAULTY_MS = 5_500
-const NOTICE_TIMEOUT_MS = 2_000
-/** "have no answer half a second later" */
-const LATE_MS = 500
-/** Fewer unanswered requests than this show nothing. */
-const MIN_UNANSWERED = 8
-/** Gap after which clients abandon a stream: four times the objective of 800 ms. */
-const STREAM_GAP_MS = 2_400
+/** "more than three times" */
+const MAX_CLOSED = 3
 
 await runCase(import.meta.url, async (record, onEnd) => {
   const fleet = await startFleet({ routers: ROUTERS })
   onEnd(() => fleet.close())
+  let spoils = false
+  let answered = 0
+
+  /** Sends a head with a blank before a colon, which is no HTTP, and bytes without end. */
+  function spoil({ req, run }) {
+    const { socket } = req
+    const head = [
+      'HTTP/1.1 200 OK',
+      `X-Attempt-Id: ${run.id}`,
+      'X-Replica-Signature : sig',
+      'X-Replica-Signature: sig',
+    ]
+    socket.write(`${head.join('\r\n')}\r\n\r\n`)
+    const chunk = Buffer.alloc(64 * 1024, 'x')
+    const pump = () => {
+      if (!socket.destroyed) socket.write(chunk, () => setImmediate(pump))
+    }
+    pump()
+  }
+
+  const replicas = []
   for (let i = 0; i < 3; i += 1) {
-    const replica = await startReplica(
-      `${fleet.net}.${100 + i}`,
-      `i-app-${i}`,
-      {
-        service: 'notices',
-        slots: 24,
+    const isFaulty = i === 2
+    const replica = await startReplica(`${fleet.net}.${100 + i}`, `i-${i}`, {
+      slots: 24,
+      respond(call) {
+        if (!isFaulty || !spoils) return false
+        answered += 1
+        if (answered % SPOILED_EVERY !== 0) return false
+        record.line(`i-${i} spoils the response to ${call.run.id}`)
+        spoil(call)
+        return new Promise((resolve) => {
+          call.req.socket.once('close', () => resolve(true))
+        })
       },
-    )
+    })
     onEnd(() => replica.close())
+    replicas.push(replica)
     fleet.store.put('keyed.servers', replica.id, replica.entry)
   }
-  const engines = await startFaultyStreams(fleet.net, onEnd, (text) => {
-    record.line(text)
-  })
-  for (const { id, entry } of engines.entries)
-    fleet.store.put('keyed.servers', id, entry)
+  const sound = new Set(['i-0', 'i-1'])
   fleet.store.put(
     'keyed.op',
     'config',
-    configuration(1, [
-      route('chart-notice', '/notices/', 'notices', {
-        'route-kind': 'non_idempotent',
-        'timeout-ms': NOTICE_TIMEOUT_MS,
-        'max-attempts': 1,
-      }),
-      route('route-brief', '/briefs/', 'engines', {
-        'route-kind': 'streaming',
-        'timeout-ms': 12_000,
-        'target-latency-ms': 400,
-        'target-gap-ms': 300,
-        'max-attempts': 1,
-        'session-affinity': true,
-        'stream-resumption': true,
-      }),
-    ]),
+    configuration(1, [route('tiles', '/tiles/', 'app')]),
   )
   await fleet.waitUntilReady()
+  for (const router of fleet.routers)
+    router.onExit = () => {
+      const { code, signal } = router.exit
+      record.line(`${router.name} ended by itself: ${code ?? signal}`)
+      router.endedAtMs ??= router.exit.atMs
+      // The platform starts a process that has ended again after a short delay.
+      setTimeout(() => fleet.restart(router), 1_000)
+    }
+  onEnd(() => {
+    for (const router of fleet.routers) router.onExit = undefined
+  })
 
   const seen = []
   let stopped = false
-
-  async function sendNotices(router) {
-    const agent = new Agent({ keepAlive: true })
-    const pending = []
-    while (!stopped) {
-      pending.push(sendNotice(router, agent))
-      await sleep(NOTICE_EVERY_MS)
-    }
-    await Promise.all(pending)
-    agent.destroy()
-  }
-
-  async function sendNotice(router, agent) {
-    const response = await send(router, '/notices/1', {
-      method: 'POST',
-      body: 'notice',
-      agent,
-    })
-    seen.push(response)
-    record.line(
-      `${response.id} ${router.name} ${response.status ?? response.error} ${response.ms.toFixed(0)} ms`,
-    )
-  }
-
-  let streams = 0
-  async function readStreams(router) {
+  async function runClient(router) {
+    const connection = new KeptConnection()
     while (!stopped) {
-      streams += 1
-      const abandon = new AbortController()
-      let timer
-      const restart = () => {
-        clearTimeout(timer)
-        timer = setTimeout(() => abandon.abort(), STREAM_GAP_MS)
-      }
-      restart()
-      const response = await send(router, '/briefs/1', {
-        method: 'POST',
-        body: 'prompt',
-        signal: abandon.signal,
-        headers: {
-          'X-Deadline-Ms': '15000',
-          'X-Model': 'm',
-          'X-Token-Usage': '1460,80',
-          'X-Prompt-Prefix': `5c1e07a2:800,s${streams}:410,o${streams}:250`,
-        },
-        onData(text) {
-          if (text.includes('\n\n')) restart()
-        },
-      })
-      clearTimeout(timer)
+      const response = await connection.send(router, '/tiles/1')
+      seen.push(response)
       record.line(
-        `${response.id} stream by ${router.name}: ${response.status ?? response.error}, complete ${response.complete ?? false}, ${response.ms.toFixed(0)} ms`,
+        `${response.id} ${router.name} ${response.status ?? response.error} ${response.ms.toFixed(0)} ms`,
       )
-      await sleep(250)
+      if (response.closed) await sleep(200)
     }
+    connection.close()
   }
-
-  const clients = fleet.routers.flatMap((router) => [
-    sendNotices(router),
-    ...Array.from({ length: STREAM_READERS }, () => readStreams(router)),
-  ])
+  const clients = fleet.routers.flatMap((router) =>
+    Array.from({ length: CLIENTS_PER_ROUTER }, () => runClient(router)),
+  )
   await sleep(2 * CONTACT_MS)
   record.line('the disruption begins')
-  engines.setFaulty(TROUBLE)
-  await sleep(FAULTY_MS)
-  engines.setFaulty(false)
+  spoils = TROUBLE
+  await sleep(SPOILED_MS)
+  spoils = false
   record.line('the disruption ends')
-  await sleep(2 * CONTACT_MS)
+  await sleep(CONTACT_MS)
   stopped = true
   await Promise.all(clients)
 
-  const unanswered = seen.filter(({ ms }) => ms >= NOTICE_TIMEOUT_MS)
-  const late = unanswered.filter(({ ms }) => ms >= NOTICE_TIMEOUT_MS + LATE_MS)
-  const served = seen.filter(({ status }) => status === 200).length
-  const longest = Math.max(...seen.map(({ ms }) => ms))
-  record.line(
-    `${seen.length} notices, ${served} served; the longest wait was ${longest.toFixed(0)} ms`,
-  )
-  record.line(
-    `${unanswered.length} were unanswered at ${NOTICE_TIMEOUT_MS} ms, ${late.length} of them ${LATE_MS} ms later`,
-  )
-  return (
-    unanswered.length >= MIN_UNANSWERED && late.length > unanswered.length / 2
+  const runs = new Map(
+    replicas.flatMap(({ runs: own }) => own).map((run) => [run.id, run]),
   )
+  let most = 0
+  for (const router of fleet.routers) {
+    // Only requests of the first life: until then nothing had happened to the machine.
+    const lost = seen.filter(
+      ({ id, kept, closed, router: name, sentAtMs }) =>
+        name === router.name &&
+        closed &&
+        kept &&
+        sentAtMs <= (router.endedAtMs ?? Infinity) &&
+        sound.has(runs.get(id)?.replica),
+    )
+    most = Math.max(most, lost.length)
+    record.line(
+      `${router.name}: ${lost.length} kept connections closed without an answer to a request that a sound replica ran`,
+    )
+  }
+  const served = seen.filter(({ status }) => status === 200).length
+  record.line(`${seen.length} requests, ${served} served`)
+  return most > MAX_CLOSED
 })
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,121 +1,154 @@
-// A request crashes the replicas that run it, and comes again at several machines
-// at once: each such round counts as one crash.
-import { KeptConnection, nextAttemptId, send } from '../lib/client.mjs'
+// One replica sends a few streams that never end an event, in small chunks; the
+// routers that read them stand still.
+import { Agent } from 'node:http'
+import { send } from '../lib/client.mjs'
 import { configuration, route } from '../lib/configuration.mjs'
 import { sleep, startFleet } from '../lib/fleet.mjs'
+import { startFaultyStreams } from '../lib/faultyStreams.mjs'
 import { runCase, TROUBLE } from '../lib/record.mjs'
 import { startReplica } from '../lib/replica.mjs'
 
-const ROUTERS = 3
-const REPLICAS = 13
-/** "the replica is back after some seconds" */
-const DOWN_MS = 2_000
+const ROUTERS = 2
+/** Time between two notices to a router. */
+const NOTICE_EVERY_MS = 25
+const STREAM_READERS = 4
 const CONTACT_MS = 3_000
-/** "after it has crashed the third" */
-const FIRST_CRASHES = 3
-/** "in more than three retries" */
-const MAX_RETRIES = 3
-/** Time that the request runs before its replica crashes. */
-const RUN_MS = 40
-const ROUNDS = 3
+/** Time for which the replica is faulty: `garble`, for_s = 5.5. */
+const FAULTY_MS = 5_500
+const NOTICE_TIMEOUT_MS = 2_000
+/** "have no answer half a second later" */
+const LATE_MS = 500
+/** Fewer unanswered requests than this show nothing. */
+const MIN_UNANSWERED = 8
+/** Gap after which clients abandon a stream: four times the objective of 800 ms. */
+const STREAM_GAP_MS = 2_400
 
 await runCase(import.meta.url, async (record, onEnd) => {
   const fleet = await startFleet({ routers: ROUTERS })
   onEnd(() => fleet.close())
-  const crashes = []
-  const arrivals = []
-  const down = new Set()
-  const replicas = []
-
-  async function start(index) {
-    const id = `i-${index}`
-    const replica = await startReplica(`${fleet.net}.${100 + index}`, id, {
-      slots: 6,
-      async respond({ body, run }) {
-        if (String(body) !== 'deadly') return false
-        arrivals.push(performance.now())
-        record.line(`${run.id} reaches ${id}`)
-        if (!TROUBLE) return false
-        await sleep(RUN_MS)
-        crash(index)
-        return true
+  for (let i = 0; i < 3; i += 1) {
+    const replica = await startReplica(
+      `${fleet.net}.${100 + i}`,
+      `i-app-${i}`,
+      {
+        service: 'notices',
+        slots: 24,
       },
-    })
-    replicas[index] = replica
-    down.delete(index)
-    fleet.store.put('keyed.servers', id, replica.entry)
-  }
-
-  function crash(index) {
-    if (down.has(index)) return
-    down.add(index)
-    crashes.push(performance.now())
-    record.line(`i-${index} crashes: crash ${crashes.length}`)
-    replicas[index].close()
-    setTimeout(() => void start(index), DOWN_MS)
+    )
+    onEnd(() => replica.close())
+    fleet.store.put('keyed.servers', replica.id, replica.entry)
   }
-
-  for (let index = 0; index < REPLICAS; index += 1) await start(index)
-  onEnd(() => {
-    for (const replica of replicas) replica.close()
+  const engines = await startFaultyStreams(fleet.net, onEnd, (text) => {
+    record.line(text)
   })
+  for (const { id, entry } of engines.entries)
+    fleet.store.put('keyed.servers', id, entry)
   fleet.store.put(
     'keyed.op',
     'config',
     configuration(1, [
-      route('notices', '/notices/', 'app', {
+      route('chart-notice', '/notices/', 'notices', {
         'route-kind': 'non_idempotent',
+        'timeout-ms': NOTICE_TIMEOUT_MS,
         'max-attempts': 1,
       }),
+      route('route-brief', '/briefs/', 'engines', {
+        'route-kind': 'streaming',
+        'timeout-ms': 12_000,
+        'target-latency-ms': 400,
+        'target-gap-ms': 300,
+        'max-attempts': 1,
+        'session-affinity': true,
+        'stream-resumption': true,
+      }),
     ]),
   )
   await fleet.waitUntilReady()
 
+  const seen = []
   let stopped = false
-  async function sendSound(router) {
-    const connection = new KeptConnection()
-    for (let i = 0; !stopped; i += 1) {
-      await connection.send(router, `/notices/${i}`, {
-        method: 'POST',
-        body: 'sound',
-      })
-      await sleep(50)
+
+  async function sendNotices(router) {
+    const agent = new Agent({ keepAlive: true })
+    const pending = []
+    while (!stopped) {
+      pending.push(sendNotice(router, agent))
+      await sleep(NOTICE_EVERY_MS)
     }
-    connection.close()
+    await Promise.all(pending)
+    agent.destroy()
   }
-  const sound = fleet.routers.map(sendSound)
 
-  /** Sends the request to every machine at once. */
-  async function sendRound(name) {
-    const responses = await Promise.all(
-      fleet.routers.map((router) =>
-        send(router, '/notices/deadly', {
-          id: nextAttemptId(),
-          method: 'POST',
-          body: 'deadly',
-        }),
-      ),
+  async function sendNotice(router, agent) {
+    const response = await send(router, '/notices/1', {
+      method: 'POST',
+      body: 'notice',
+      agent,
+    })
+    seen.push(response)
+    record.line(
+      `${response.id} ${router.name} ${response.status ?? response.error} ${response.ms.toFixed(0)} ms`,
     )
-    for (const { id, router, status, error } of responses)
-      record.line(`${name}: ${id} ${router} ${status ?? error}`)
   }
 
-  await sleep(2 * CONTACT_MS)
-  await sendRound('first round')
-  await sleep(500)
-  if (TROUBLE && crashes.length < FIRST_CRASHES)
-    throw new Error('the first round crashed too few replicas')
-  const boundMs = (crashes[FIRST_CRASHES - 1] ?? performance.now()) + CONTACT_MS
-  await sleep(CONTACT_MS)
-  for (let round = 1; round <= ROUNDS; round += 1) {
-    await sendRound(`round ${round} of retries`)
-    await sleep(CONTACT_MS)
+  let streams = 0
+  async function readStreams(router) {
+    while (!stopped) {
+      streams += 1
+      const abandon = new AbortController()
+      let timer
+      const restart = () => {
+        clearTimeout(timer)
+        timer = setTimeout(() => abandon.abort(), STREAM_GAP_MS)
+      }
+      restart()
+      const response = await send(router, '/briefs/1', {
+        method: 'POST',
+        body: 'prompt',
+        signal: abandon.signal,
+        headers: {
+          'X-Deadline-Ms': '15000',
+          'X-Model': 'm',
+          'X-Token-Usage': '1460,80',
+          'X-Prompt-Prefix': `5c1e07a2:800,s${streams}:410,o${streams}:250`,
+        },
+        onData(text) {
+          if (text.includes('\n\n')) restart()
+        },
+      })
+      clearTimeout(timer)
+      record.line(
+        `${response.id} stream by ${router.name}: ${response.status ?? response.error}, complete ${response.complete ?? false}, ${response.ms.toFixed(0)} ms`,
+      )
+      await sleep(250)
+    }
   }
+
+  const clients = fleet.routers.flatMap((router) => [
+    sendNotices(router),
+    ...Array.from({ length: STREAM_READERS }, () => readStreams(router)),
+  ])
+  await sleep(2 * CONTACT_MS)
+  record.line('the disruption begins')
+  engines.setFaulty(TROUBLE)
+  await sleep(FAULTY_MS)
+  engines.setFaulty(false)
+  record.line('the disruption ends')
+  await sleep(2 * CONTACT_MS)
   stopped = true
-  await Promise.all(sound)
-  const late = arrivals.filter((atMs) => atMs > boundMs)
+  await Promise.all(clients)
+
+  const unanswered = seen.filter(({ ms }) => ms >= NOTICE_TIMEOUT_MS)
+  const late = unanswered.filter(({ ms }) => ms >= NOTICE_TIMEOUT_MS + LATE_MS)
+  const served = seen.filter(({ status }) => status === 200).length
+  const longest = Math.max(...seen.map(({ ms }) => ms))
   record.line(
-    `${crashes.length} crashes; ${late.length} retries reached replicas later than ${CONTACT_MS} ms after crash ${FIRST_CRASHES}`,
+    `${seen.length} notices, ${served} served; the longest wait was ${longest.toFixed(0)} ms`,
+  )
+  record.line(
+    `${unanswered.length} were unanswered at ${NOTICE_TIMEOUT_MS} ms, ${late.length} of them ${LATE_MS} ms later`,
+  )
+  return (
+    unanswered.length >= MIN_UNANSWERED && late.length > unanswered.length / 2
   )
-  return crashes.length >= FIRST_CRASHES && late.length > MAX_RETRIES
 })
--- a/review/lib/replica.mjs
+++ b/review/lib/replica.mjs
@@ -1,5 +1,6 @@
 // Stand-in for a replica: slots, a queue, signed responses, HTTP/1.1.
 import { createServer } from 'node:http'
+import { Server as NetServer } from 'node:net'
 
 const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms))
 
@@ -80,7 +81,7 @@
     }
   }
 
-  const server = createServer({ keepAliveTimeout: 5_000 }, (req, res) => {
+  const server = createServer({ keepAliveTimeout: 15_000 }, (req, res) => {
     handle(req, res).catch(() => res.destroy())
   })
   await new Promise((resolve) => server.listen(0, host, resolve))
@@ -107,6 +108,17 @@
     set leaving(value) {
       leaving = value
     },
+    /** Refuses new connections; open ones live on. */
+    refuseConnections() {
+      // Unlike the method of an HTTP server, this one keeps idle connections.
+      NetServer.prototype.close.call(server)
+    },
+    acceptConnections() {
+      const [, port] = address.split(':')
+      return new Promise((resolve) =>
+        server.listen(Number(port), host, resolve),
+      )
+    },
     /** Ends the replica as a crash does: its connections break. */
     close() {
       server.close()
