--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -11,6 +11,7 @@
 /** Clients of the other router, with whose requests it keeps connections to replicas. */
 const OTHER_CLIENTS = 140
 const FEWER_CLIENTS = 8
+const ROUTER_CLIENTS = 40
 /** Time from the end of the partition to the end of the peer. */
 const RUN_ON_MS = 2_000
 const STREAMS = 16
@@ -84,15 +85,17 @@
   await fleet.waitUntilReady()
 
   let clients = OTHER_CLIENTS
-  async function sendTags(index) {
+  async function sendTags(at, index) {
     const connection = new KeptConnection()
     while (index < clients) {
-      await connection.send(peer, '/tags/1', { method: 'POST', body: 'tag' })
+      await connection.send(at, '/tags/1', { method: 'POST', body: 'tag' })
       await sleep(100 + 100 * Math.random())
     }
     connection.close()
   }
-  const others = Array.from({ length: OTHER_CLIENTS }, (_, i) => sendTags(i))
+  const others = Array.from({ length: OTHER_CLIENTS }, (_, i) =>
+    sendTags(peer, i),
+  )
 
   async function readStream(index) {
     // A client comes again after a refusal, as it says when.
@@ -131,6 +134,9 @@
     for (const replica of replicas) await replica.acceptConnections()
     record.line('the partition ends')
   }
+  // From now on the router has traffic of its own.
+  clients = ROUTER_CLIENTS
+  for (let i = 0; i < ROUTER_CLIENTS; i += 1) others.push(sendTags(router, i))
   await sleep(RUN_ON_MS)
   if (TROUBLE) {
     record.line(`${peer.name} is killed`)
