--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -11,11 +11,11 @@
 const ROUTERS = 2
 /** Time between two notices to a router. */
 const NOTICE_EVERY_MS = 25
-const STREAM_READERS = 4
+const STREAM_READERS = 8
 const CONTACT_MS = 3_000
 /** Time for which the replica is faulty: `garble`, for_s = 5.5. */
 const FAULTY_MS = 5_500
-const NOTICE_TIMEOUT_MS = 2_000
+const NOTICE_TIMEOUT_MS = 1_000
 /** "have no answer half a second later" */
 const LATE_MS = 500
 /** Fewer unanswered requests than this show nothing. */
--- a/review/lib/engines.mjs
+++ b/review/lib/engines.mjs
@@ -8,8 +8,8 @@
 const EVENT_MS = 25
 /** Bytes of the data in each chunk of a spoiled stream, as of a few tokens. */
 const CHUNK_BYTES = 16
-/** Streams that are spoiled: of some 100 in 5.5 s at three replicas. */
-const MAX_SPOILED = 6
+/** Streams that are spoiled: of some 150 in 5.5 s at three replicas. */
+const MAX_SPOILED = 10
 const BATCH_BYTES = 256 * 1024
 
 const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms))
