--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -37,8 +37,7 @@
       ? [SHORT_EVENTS, SHORT_EVENT_MS]
       : [EVENTS, EVENT_MS]
     const from = Number(run.lastEventId ?? 0)
-    if (!isShort)
-      record.line(`${run.id} runs at ${run.replica} (${version}) from ${from}`)
+    record.line(`${run.id} runs at ${run.replica} (${version}) from ${from}`)
     res.writeHead(200, { ...signed, 'Content-Type': 'text/event-stream' })
     res.flushHeaders()
     for (let event = from + 1; event <= events && !res.destroyed; event += 1) {
@@ -88,7 +87,11 @@
   async function sendTags(at, index) {
     const connection = new KeptConnection()
     while (index < clients) {
-      await connection.send(at, '/tags/1', { method: 'POST', body: 'tag' })
+      const { id, status, error } = await connection.send(at, '/tags/1', {
+        method: 'POST',
+        body: 'tag',
+      })
+      record.line(`${id} tag by ${at.name}: ${status ?? error}`)
       await sleep(100 + 100 * Math.random())
     }
     connection.close()
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -2,7 +2,7 @@
 import { KeptConnection } from '../lib/client.mjs'
 import { configuration, route } from '../lib/configuration.mjs'
 import { sleep, startFleet } from '../lib/fleet.mjs'
-import { runCase, TROUBLE } from '../lib/record.mjs'
+import { recordRuns, runCase, TROUBLE } from '../lib/record.mjs'
 import { startReplica } from '../lib/replica.mjs'
 
 const ROUTERS = 3
@@ -103,6 +103,7 @@
   await sleep(CONTACT_MS)
   stopped = true
   await Promise.all(clients)
+  recordRuns(record, replicas)
 
   const runs = new Map(
     replicas.flatMap(({ runs: own }) => own).map((run) => [run.id, run]),
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -5,7 +5,7 @@
 import { configuration, route } from '../lib/configuration.mjs'
 import { sleep, startFleet } from '../lib/fleet.mjs'
 import { startFaultyStreams } from '../lib/faultyStreams.mjs'
-import { runCase, TROUBLE } from '../lib/record.mjs'
+import { recordRuns, runCase, TROUBLE } from '../lib/record.mjs'
 import { startReplica } from '../lib/replica.mjs'
 
 const ROUTERS = 2
@@ -26,6 +26,7 @@
 await runCase(import.meta.url, async (record, onEnd) => {
   const fleet = await startFleet({ routers: ROUTERS })
   onEnd(() => fleet.close())
+  const replicas = []
   for (let i = 0; i < 3; i += 1) {
     const replica = await startReplica(
       `${fleet.net}.${100 + i}`,
@@ -36,6 +37,7 @@
       },
     )
     onEnd(() => replica.close())
+    replicas.push(replica)
     fleet.store.put('keyed.servers', replica.id, replica.entry)
   }
   const engines = await startFaultyStreams(fleet.net, onEnd, (text) => {
@@ -137,6 +139,7 @@
   await sleep(2 * CONTACT_MS)
   stopped = true
   await Promise.all(clients)
+  recordRuns(record, replicas)
 
   const unanswered = seen.filter(({ ms }) => ms >= NOTICE_TIMEOUT_MS)
   const late = unanswered.filter(({ ms }) => ms >= NOTICE_TIMEOUT_MS + LATE_MS)
--- a/review/lib/record.mjs
+++ b/review/lib/record.mjs
@@ -31,6 +31,16 @@
   }
 }
 
+/** Records every request that replicas began to run. */
+export function recordRuns(record, replicas) {
+  const runs = replicas.flatMap(({ runs: own }) => own)
+  runs.sort((a, b) => a.atMs - b.atMs)
+  for (const { id, replica, atMs } of runs) {
+    const s = ((atMs - record.startMs) / 1_000).toFixed(3)
+    record.line(`${id} began to run at ${replica} at ${s}`)
+  }
+}
+
 /**
  * Runs a case; `play` resolves to whether the rule was broken. Ends the process
  * after 110 s at the latest.
