--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -8,6 +8,9 @@
 
 const ROUTERS = 2
 const CLIENTS_PER_ROUTER = 16
+/** Clients of another service, whose replicas are all sound. */
+const NOTICE_CLIENTS_PER_ROUTER = 16
+const NOTICE_MS = 400
 /** Time for which the replica spoils responses: `garble`, for_s = 5.5. */
 const SPOILED_MS = 5_500
 const CONTACT_MS = 3_000
@@ -54,11 +57,28 @@
     replicas.push(replica)
     fleet.store.put('keyed.servers', replica.id, replica.entry)
   }
-  const sound = new Set(['i-0', 'i-1'])
+  for (let i = 0; i < 2; i += 1) {
+    const id = `i-notices-${i}`
+    const replica = await startReplica(`${fleet.net}.${110 + i}`, id, {
+      service: 'notices',
+      slots: 24,
+      workMs: NOTICE_MS,
+    })
+    onEnd(() => replica.close())
+    replicas.push(replica)
+    fleet.store.put('keyed.servers', id, replica.entry)
+  }
+  const sound = new Set(['i-0', 'i-1', 'i-notices-0', 'i-notices-1'])
   fleet.store.put(
     'keyed.op',
     'config',
-    configuration(1, [route('tiles', '/tiles/', 'app')]),
+    configuration(1, [
+      route('tiles', '/tiles/', 'app'),
+      route('notices', '/notices/', 'notices', {
+        'route-kind': 'non_idempotent',
+        'max-attempts': 1,
+      }),
+    ]),
   )
   await fleet.waitUntilReady()
   for (const router of fleet.routers)
@@ -75,10 +95,10 @@
 
   const seen = []
   let stopped = false
-  async function runClient(router) {
+  async function runClient(router, path) {
     const connection = new KeptConnection()
     while (!stopped) {
-      const response = await connection.send(router, '/tiles/1')
+      const response = await connection.send(router, path)
       seen.push(response)
       record.line(
         `${response.id} ${router.name} ${response.status ?? response.error} ${response.ms.toFixed(0)} ms`,
@@ -87,9 +107,12 @@
     }
     connection.close()
   }
-  const clients = fleet.routers.flatMap((router) =>
-    Array.from({ length: CLIENTS_PER_ROUTER }, () => runClient(router)),
-  )
+  const start = (count, router, path) =>
+    Array.from({ length: count }, () => runClient(router, path))
+  const clients = fleet.routers.flatMap((router) => [
+    ...start(CLIENTS_PER_ROUTER, router, '/tiles/1'),
+    ...start(NOTICE_CLIENTS_PER_ROUTER, router, '/notices/1'),
+  ])
   await sleep(2 * CONTACT_MS)
   record.line('the disruption begins')
   spoils = TROUBLE
