Treat a head that cannot be forwarded as a broken response

Cause: Node's parser accepts what its writer refuses (a name with a blank or none, a status below 100). The refusal came as an exception where the head was written: in a listener for a long body, which ended the process; with a short one the caller's connection was closed without an answer, on every kind of route.

Change: `exchange`, which reads heads of targets and peers, checks status and headers once and reports such a head as a broken response, so that the call is tried elsewhere or answered 502.

--- a/packages/http-utils/src/node/exchange.ts
+++ b/packages/http-utils/src/node/exchange.ts
@@ -7,6 +7,7 @@
 import type { Socket } from 'node:net'
 import { AttemptProgress } from '@auburnbay/core/verdict/attemptProgress'
 import { err, ok, type Result } from 'neverthrow'
+import { findHeaderFault } from './findHeaderFault.js'
 import { hasLength } from './hasLength.js'
 import { pauseBetweenReads } from './pauseBetweenReads.js'
 
@@ -58,6 +59,23 @@
   readonly message: string
 }
 
+/** Lowest status of a final response. */
+const MIN_FINAL_STATUS = 200
+/** Highest status that HTTP defines. */
+const MAX_STATUS = 599
+/** Interim responses after which a response counts as broken. */
+const MAX_INTERIM_RESPONSES = 32
+
+/** Returns why a response head cannot be forwarded; undefined if it can. */
+function findHeadFault({
+  statusCode = 0,
+  rawHeaders,
+}: IncomingMessage): string | undefined {
+  if (statusCode < MIN_FINAL_STATUS || statusCode > MAX_STATUS)
+    return `the response has the status ${statusCode}`
+  return findHeaderFault(rawHeaders)
+}
+
 /** Sends a request and resolves once the response headers arrive; an invalid URL is a failure like any other. */
 export function exchange(
   options: ExchangeOptions,
@@ -142,9 +160,22 @@
     req.once('close', () => {
       fail('the connection closed without an answer')
     })
+    let interimResponses = 0
+    req.on('information', () => {
+      interimResponses += 1
+      if (interimResponses > MAX_INTERIM_RESPONSES)
+        req.destroy(new Error('the target sent too many interim responses'))
+    })
     req.once('response', (res) => {
       clearTimeout(timer)
       response = res
+      const fault = findHeadFault(res)
+      if (fault !== undefined) {
+        res.on('error', () => undefined)
+        res.destroy()
+        fail(fault)
+        return
+      }
       if (!hasLength(res)) pauseBetweenReads(res.socket)
       // The reader of the body gets the error; before there is one, it must not be unhandled.
       res.on('error', () => undefined)
--- a/packages/router/src/node/callers/createRequestHandler.ts
+++ b/packages/router/src/node/callers/createRequestHandler.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { Verdict } from '@auburnbay/core/verdict/verdict'
 import type { RequestFailure } from '@auburnbay/core/verdict/requestFailure'
+import { findHeaderFault } from '@auburnbay/http-utils/findHeaderFault'
 import { BodyError, readBody } from '@auburnbay/http-utils/readBody'
 import { withoutHeaders } from '@auburnbay/http-utils/withoutHeaders'
 import { err } from 'neverthrow'
@@ -161,6 +162,11 @@
   ): Promise<void> {
     const request = protocol.decodeRequest(req)
     const isRelayed = relayed !== undefined
+    if (findHeaderFault(req.rawHeaders) !== undefined) {
+      res.shouldKeepAlive = false
+      refuse(res, request, failures.badRequest, isRelayed)
+      return
+    }
     const limits = configurationStore.current?.configuration.limits
     const maxBytes = limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES
     const body = await readBody(req, maxBytes)
@@ -208,10 +214,13 @@
         inFlight -= 1
       })
       handleRequest(req, res, relayed).catch((error: unknown) => {
-        log.write(LogEvent.RequestEnded, {
+        metrics.recordException()
+        log.write(LogEvent.RequestFailed, {
+          request: protocol.decodeRequest(req).attemptId,
           reason: error instanceof Error ? error.stack : String(error),
         })
-        res.destroy()
+        if (!res.writableEnded)
+          sendFailure(res, failures.internal, relayed !== undefined)
       })
     },
     disableKeepAlive() {
--- a/packages/router/src/node/callers/failures.ts
+++ b/packages/router/src/node/callers/failures.ts
@@ -38,6 +38,11 @@
     'this router is stopping; try again at another',
     OTHER_ROUTER_RETRY_AFTER_S,
   ),
+  badRequest: createNotRunFailure(
+    FailureCode.BadRequest,
+    400,
+    'a header has an invalid name or value; check for blanks before a colon',
+  ),
   noRoute: createNotRunFailure(
     FailureCode.NotFound,
     404,
@@ -97,6 +102,12 @@
     status: 502,
     message: 'the target gave no whole answer; the request may have run',
   },
+  internal: {
+    verdict: Verdict.MayHaveRun,
+    code: FailureCode.Internal,
+    status: 502,
+    message: 'this router failed; the request may have run',
+  },
   targetTimeout: {
     verdict: Verdict.MayHaveRun,
     code: FailureCode.TargetTimeout,
--- a/packages/router/src/node/callers/relayBody.ts
+++ b/packages/router/src/node/callers/relayBody.ts
@@ -1,20 +1,29 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { RelayOutcome } from './relayOutcome.js'
 
-/** Forwards a target's response body through `transform`, with backpressure. */
+/** Forwards a target's response body through `transform`, with backpressure; rejects if that throws. */
 export function relayBody(
   from: IncomingMessage,
   to: ServerResponse,
   signal: AbortSignal,
   transform: (chunk: Buffer) => Buffer | undefined,
 ): Promise<RelayOutcome> {
-  return new Promise((resolve) => {
-    function finish(outcome: RelayOutcome): void {
+  return new Promise((resolve, reject) => {
+    function stop(): void {
       signal.removeEventListener('abort', onAbort)
       to.off('drain', onDrain)
+      from.off('data', onData)
+    }
+    function finish(outcome: RelayOutcome): void {
+      stop()
       if (outcome !== RelayOutcome.Complete) from.destroy()
       resolve(outcome)
     }
+    function fail(error: unknown): void {
+      stop()
+      from.destroy()
+      reject(error instanceof Error ? error : new Error(String(error)))
+    }
     function onAbort(): void {
       finish(RelayOutcome.Aborted)
     }
@@ -22,8 +31,13 @@
       from.resume()
     }
     function onData(chunk: Buffer): void {
-      const out = transform(chunk)
-      if (out && !to.write(out)) from.pause()
+      // An exception in a listener would end the process.
+      try {
+        const out = transform(chunk)
+        if (out && !to.write(out)) from.pause()
+      } catch (error) {
+        fail(error)
+      }
     }
     if (signal.aborted) {
       finish(RelayOutcome.Aborted)
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -14,6 +14,7 @@
 import { LogEvent } from './logging/logEvent.js'
 import { createGracefulStop } from './stopping/createGracefulStop.js'
 import { createRouterMetrics } from './metrics/createRouterMetrics.js'
+import type { RouterMetrics } from './metrics/routerMetrics.js'
 import { createFleetSize } from './peers/createFleetSize.js'
 import { createIncarnation } from './peers/createIncarnation.js'
 import { createPeers, type Peers } from './peers/createPeers.js'
@@ -37,6 +38,7 @@
   readonly ready: boolean
   /** Applies changed settings, except for addresses. */
   reload(settings: RouterSettings): void
+  readonly metrics: RouterMetrics
   /** Stops gracefully; resolves once all requests have ended or the grace period is over. */
   stop(): Promise<void>
 }
@@ -199,7 +201,6 @@
     configurationStore,
     handler,
   })
-
   const statusServers = await createStatusServers(
     settings.listen,
     metrics,
@@ -243,6 +244,7 @@
       settings = changed
       log.write(LogEvent.SettingsReloaded, {})
     },
+    metrics,
     stop,
   }
 }
--- a/packages/router/src/node/logging/logEvent.ts
+++ b/packages/router/src/node/logging/logEvent.ts
@@ -39,6 +39,7 @@
   RequestRetried = 'request-retried',
   RetryRefused = 'retry-refused',
   RequestEnded = 'request-ended',
+  RequestFailed = 'request-failed',
   RequestRefused = 'request-refused',
   LinesDropped = 'lines-dropped',
 }
--- a/packages/router/src/node/metrics/createRouterMetrics.ts
+++ b/packages/router/src/node/metrics/createRouterMetrics.ts
@@ -79,6 +79,11 @@
     labelNames: ['service'],
     registers,
   })
+  const exceptions = new Counter({
+    name: 'auburnbay_exceptions_total',
+    help: 'Exceptions of this router that failed a request or a task.',
+    registers,
+  })
   return {
     recordRequest(route, status, seconds) {
       requests.inc({ route, status })
@@ -100,6 +105,9 @@
     recordWithheld(service) {
       withheld.inc({ service })
     },
+    recordException() {
+      exceptions.inc()
+    },
     watchFleet(read) {
       for (const [field, [name, help]] of Object.entries(FLEET_GAUGES)) {
         const gauge: Gauge = new Gauge({
--- a/packages/router/src/node/metrics/routerMetrics.ts
+++ b/packages/router/src/node/metrics/routerMetrics.ts
@@ -28,6 +28,8 @@
   recordStatement(kind: StatementKind): void
   /** Records a send that was not written, as its target takes no requests. */
   recordWithheld(service: string): void
+  /** Records an exception of this router that failed a request or a task. */
+  recordException(): void
   /** Exports what `read` returns whenever the metrics are read. */
   watchFleet(read: () => FleetStatus): void
   /** Returns all metrics in the Prometheus text format. */
--- a/packages/router/src/node/runRouter.ts
+++ b/packages/router/src/node/runRouter.ts
@@ -1,6 +1,8 @@
 import { statSync } from 'node:fs'
+import { performance } from 'node:perf_hooks'
 import process from 'node:process'
-import { createRouter } from './createRouter.js'
+import { createExceptionLimit } from './createExceptionLimit.js'
+import { createRouter, type Router } from './createRouter.js'
 import { createDecisionLog } from './logging/createDecisionLog.js'
 import { LogEvent } from './logging/logEvent.js'
 import type { CreatePorts } from './routerPorts.js'
@@ -30,12 +32,20 @@
   }
   const log = createDecisionLog(settings.value.router.id)
   const ports = createPorts(settings.value.logService, log)
+  const started: { router?: Router } = {}
+  const isWithinLimit = createExceptionLimit(() => performance.now())
   process.on('uncaughtException', (error) => {
     log.write(LogEvent.Failed, { reason: error.stack ?? error.message })
+    // The other requests go on; the one that failed ends at its deadline.
+    if (started.router && isWithinLimit()) {
+      started.router.metrics.recordException()
+      return
+    }
     log.close()
     process.exit(1)
   })
   const router = await createRouter(settings.value, ports, log)
+  started.router = router
 
   function reload(): void {
     const changed = readSettings(settingsPath)
