--- a/packages/http-utils/src/node/createNodeFetch.ts
+++ b/packages/http-utils/src/node/createNodeFetch.ts
@@ -60,6 +60,7 @@
         void readBody(res, MAX_RESPONSE_BYTES).then((body) => {
           countBytes(socket, seen, traffic)
           if (body.isErr()) {
+            res.destroy()
             reject(new Error(`incomplete response body (${body.error})`))
             return
           }
--- a/packages/http-utils/src/node/requestBytes.ts
+++ b/packages/http-utils/src/node/requestBytes.ts
@@ -85,16 +85,16 @@
     })
     req.on('response', (res) => {
       restartIdleTimer()
-      void readBody(res, maxBytes).then((body) => {
+      const reading = readBody(res, maxBytes, { onProgress: restartIdleTimer })
+      void reading.then((body) => {
         if (body.isErr()) {
+          res.destroy()
           fail(`the answer was cut off (${body.error})`)
           return
         }
         const { statusCode: status = 0, headers } = res
         finish(ok({ status, headers, body: body.value }))
       })
-      // `readBody` consumes the body; this listener only observes the chunks.
-      res.on('data', restartIdleTimer)
     })
     req.end(options.body)
   })
--- a/packages/router/src/node/callers/__tests__/testCall.ts
+++ b/packages/router/src/node/callers/__tests__/testCall.ts
@@ -1,3 +1,4 @@
+import { createBufferBudget } from '@auburnbay/http-utils/createBufferBudget'
 import { testRoute } from '../../configuration/__tests__/testConfiguration.js'
 import type { Call } from '../call.js'
 
@@ -9,6 +10,7 @@
     path: '/',
     rawHeaders: [],
     body: Buffer.alloc(0),
+    memory: createBufferBudget(1 << 20).lease(),
     route: testRoute(),
     service: 'service',
     deadlineAtMs: 10_000,
--- a/packages/router/src/node/callers/admitRequest.ts
+++ b/packages/router/src/node/callers/admitRequest.ts
@@ -8,8 +8,11 @@
 import type { CallerRequest } from './callerRequest.js'
 import { failures } from './failures.js'
 
-/** An admitted request, without the body, deadline and signal of the call. */
-export type AdmittedRequest = Omit<Call, 'body' | 'signal' | 'deadlineAtMs'>
+/** An admitted request, without the body, memory, deadline and signal of the call. */
+export type AdmittedRequest = Omit<
+  Call,
+  'body' | 'memory' | 'signal' | 'deadlineAtMs'
+>
 
 function pathOf(url: string): string {
   const query = url.indexOf('?')
--- a/packages/router/src/node/callers/call.ts
+++ b/packages/router/src/node/callers/call.ts
@@ -1,3 +1,4 @@
+import type { BufferLease } from '@auburnbay/http-utils/createBufferBudget'
 import type { Customer } from '../configuration/customer.js'
 import type { Route } from '../configuration/route.js'
 import type { RelayedRequest } from '../peers/relayedRequest.js'
@@ -12,6 +13,8 @@
   /** Alternating header names and values, as received. */
   readonly rawHeaders: readonly string[]
   readonly body: Buffer
+  /** Memory that the body and what is buffered of responses count against. */
+  readonly memory: BufferLease
   readonly route: Route
   /** Service selected by the weights of the route. */
   readonly service: string
--- a/packages/router/src/node/callers/createRequestHandler.ts
+++ b/packages/router/src/node/callers/createRequestHandler.ts
@@ -1,30 +1,38 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { Verdict } from '@auburnbay/core/verdict/verdict'
 import type { RequestFailure } from '@auburnbay/core/verdict/requestFailure'
+import {
+  type BufferLease,
+  createBufferBudget,
+} from '@auburnbay/http-utils/createBufferBudget'
 import { findHeaderFault } from '@auburnbay/http-utils/findHeaderFault'
 import { BodyError, readBody } from '@auburnbay/http-utils/readBody'
-import { withoutHeaders } from '@auburnbay/http-utils/withoutHeaders'
 import { err } from 'neverthrow'
 import type { ConfigurationStore } from '../configuration/createConfigurationStore.js'
 import type { DecisionLog } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
 import type { RouterMetrics } from '../metrics/routerMetrics.js'
-import { RELAY_HEADER, type RelayedRequest } from '../peers/relayedRequest.js'
+import type { RelayedRequest } from '../peers/relayedRequest.js'
 import type { ResumableStreams } from '../streams/createResumableStreams.js'
 import { affinityKey } from '../routing/affinityKey.js'
 import { type AdmittedRequest, admitRequest } from './admitRequest.js'
+import { admitRelayed } from './admitRelayed.js'
 import { admitResumption } from './admitResumption.js'
 import type { Call } from './call.js'
 import type { CallerProtocol } from './callerProtocol.js'
 import type { CallerRequest } from './callerRequest.js'
 import type { Dispatcher } from './createDispatcher.js'
 import { failures } from './failures.js'
+import { requestEnd } from './requestEnd.js'
 import { sendFailure } from './sendFailure.js'
 import { startingRetryAfterS } from './startingRetryAfterS.js'
 
 /** Body limit until a configuration is loaded, in bytes. */
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
 
+/** Memory for the bodies of all requests together, in bytes; garbage takes as much again, of the 350 MB of a small VM. */
+const MAX_BODIES_BYTES = 64 * 1024 * 1024
+
 /** Options for {@link createRequestHandler}. */
 export interface RequestHandlerOptions {
   readonly configurationStore: ConfigurationStore
@@ -57,22 +65,13 @@
   refuseRequests(): void
 }
 
-const RELAY_HEADERS = new Set([RELAY_HEADER])
-
-function asRelayed(
-  admitted: AdmittedRequest,
-  relayed: RelayedRequest,
-): AdmittedRequest {
-  const rawHeaders = withoutHeaders(admitted.rawHeaders, RELAY_HEADERS)
-  return { ...admitted, rawHeaders, relayed }
-}
-
 /** Creates a handler. */
 export function createRequestHandler(
   options: RequestHandlerOptions,
 ): RequestHandler {
   const { configurationStore, protocol, dispatcher, log, metrics, now } =
     options
+  const bodies = createBufferBudget(MAX_BODIES_BYTES)
   let inFlight = 0
   let keepAliveDisabled = false
   let isRefusing = false
@@ -82,6 +81,7 @@
     { attemptId, resumedAttemptId }: CallerRequest,
     failure: RequestFailure,
     isRelayed: boolean,
+    endsAfter?: Promise<void>,
   ): void {
     log.write(LogEvent.RequestRefused, {
       request: attemptId,
@@ -91,12 +91,13 @@
       verdict: failure.verdict,
       version: configurationStore.version,
     })
-    sendFailure(res, failure, isRelayed)
+    sendFailure(res, failure, isRelayed, endsAfter)
   }
 
   async function forward(
     admitted: AdmittedRequest,
     body: Buffer,
+    memory: BufferLease,
     res: ServerResponse,
   ) {
     const { request, route } = admitted
@@ -115,6 +116,7 @@
     const call: Call = {
       ...admitted,
       body,
+      memory,
       signal: aborter.signal,
       deadlineAtMs: startedAtMs + limitMs,
     }
@@ -162,18 +164,26 @@
   ): Promise<void> {
     const request = protocol.decodeRequest(req)
     const isRelayed = relayed !== undefined
-    if (findHeaderFault(req.rawHeaders) !== undefined) {
-      res.shouldKeepAlive = false
-      refuse(res, request, failures.badRequest, isRelayed)
-      return
-    }
     const limits = configurationStore.current?.configuration.limits
     const maxBytes = limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES
-    const body = await readBody(req, maxBytes)
+    const memory = bodies.lease()
+    res.once('close', () => {
+      memory.end()
+    })
+    const body = await readBody(req, maxBytes, { lease: memory })
     if (body.isErr()) {
       if (body.error === BodyError.Aborted) return
       res.shouldKeepAlive = false
-      refuse(res, request, failures.bodyTooLarge, isRelayed)
+      const failure =
+        body.error === BodyError.TooLarge
+          ? failures.bodyTooLarge
+          : failures.noRoom
+      refuse(res, request, failure, isRelayed, requestEnd(req))
+      return
+    }
+    if (findHeaderFault(req.rawHeaders) !== undefined) {
+      res.shouldKeepAlive = false
+      refuse(res, request, failures.badRequest, isRelayed)
       return
     }
     if (keepAliveDisabled) res.shouldKeepAlive = false
@@ -198,8 +208,9 @@
       return
     }
     await forward(
-      relayed ? asRelayed(admitted.value, relayed) : admitted.value,
+      relayed ? admitRelayed(admitted.value, relayed) : admitted.value,
       body.value,
+      memory,
       res,
     )
   }
--- a/packages/router/src/node/callers/createResponseRelay.ts
+++ b/packages/router/src/node/callers/createResponseRelay.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from 'node:http'
+import { createByteCollector } from '@auburnbay/http-utils/createByteCollector'
 import { hasLength } from '@auburnbay/http-utils/hasLength'
 import { withoutHeaders } from '@auburnbay/http-utils/withoutHeaders'
 import type { TargetResponse } from '../targets/createTargetClient.js'
@@ -43,7 +44,7 @@
   res: ServerResponse,
   protocol: TargetProtocol,
 ): ResponseRelay {
-  const { route, signal } = call
+  const { route, signal, memory } = call
   const isStream = route.kind === RequestKind.Stream
   const splitter = createEventSplitter()
   let headersSent = false
@@ -61,35 +62,36 @@
     )
   }
 
+  /** Whether a body may be buffered further. */
+  function hasRoom(bufferedBytes: number, newBytes: number): boolean {
+    return bufferedBytes <= MAX_BUFFERED_BYTES && memory.tryGrow(newBytes)
+  }
+
   /**
-   * Buffers the body until it is complete or exceeds {@link MAX_BUFFERED_BYTES}; a
-   * longer one of an error counts as broken off.
+   * Buffers the body until it is complete or there is no room; one of an error then
+   * counts as broken off.
    */
   async function forwardPlain(
     response: TargetResponse,
     onChunk: () => void,
   ): Promise<RelayOutcome> {
-    let buffered: Buffer[] = []
-    let bufferedBytes = 0
-    const outcome = await relayBody(response.res, res, signal, (chunk) => {
+    const buffered = createByteCollector()
+    const outcome = await relayBody(response.res, res, signal, (bytes) => {
       onChunk()
-      if (headersSent) return chunk
-      buffered.push(chunk)
-      bufferedBytes += chunk.length
-      if (bufferedBytes <= MAX_BUFFERED_BYTES) return undefined
+      if (headersSent) return bytes
+      buffered.add(bytes)
+      if (hasRoom(buffered.length, bytes.length)) return undefined
       if (!isSuccess(response)) {
-        buffered = []
+        buffered.take()
         response.res.destroy()
         return undefined
       }
       sendHeaders(response)
-      const start = Buffer.concat(buffered)
-      buffered = []
-      return start
+      return buffered.take()
     })
     if (outcome !== RelayOutcome.Complete) return outcome
     if (!headersSent) sendHeaders(response)
-    res.end(Buffer.concat(buffered))
+    res.end(buffered.take())
     return RelayOutcome.Complete
   }
 
--- a/packages/router/src/node/callers/failures.ts
+++ b/packages/router/src/node/callers/failures.ts
@@ -2,7 +2,7 @@
 import type { RequestFailure } from '@auburnbay/core/verdict/requestFailure'
 import { Verdict } from '@auburnbay/core/verdict/verdict'
 
-/** Retry-After while this router stops: by then another router gets the request. */
+/** Retry-After while this router stops or has no room: another router gets the request. */
 const OTHER_ROUTER_RETRY_AFTER_S = 0.1
 /** Retry-After without a target: the time to replace a full or removed one. */
 const OTHER_TARGET_RETRY_AFTER_S = 0.5
@@ -58,6 +58,12 @@
     413,
     'the body is larger than the configuration allows; send less',
   ),
+  noRoom: createNotRunFailure(
+    FailureCode.Overloaded,
+    503,
+    'the memory of this router for bodies is in use; try again at another',
+    OTHER_ROUTER_RETRY_AFTER_S,
+  ),
   noTarget: createNotRunFailure(
     FailureCode.NoTarget,
     503,
--- a/packages/router/src/node/callers/sendFailure.ts
+++ b/packages/router/src/node/callers/sendFailure.ts
@@ -9,11 +9,16 @@
   res.destroy()
 }
 
-/** Sends an error response, to a peer with its verdict, or closes the connection if headers were already sent. */
+/**
+ * Sends an error response, to a peer with its verdict, or closes the connection if
+ * headers were already sent.
+ * @param endsAfter Time from which the connection may be closed or used again.
+ */
 export function sendFailure(
   res: ServerResponse,
   failure: RequestFailure,
   isRelayed: boolean,
+  endsAfter?: Promise<void>,
 ): void {
   if (res.headersSent) {
     breakOff(res)
@@ -30,5 +35,10 @@
   if (retryAfterS !== undefined) headers.push('Retry-After', retryAfterS)
   if (isRelayed) headers.push(RELAY_VERDICT_HEADER, verdict)
   res.writeHead(status, headers)
-  res.end(body)
+  if (!endsAfter) {
+    res.end(body)
+    return
+  }
+  res.write(body)
+  void endsAfter.then(() => res.end())
 }
--- a/packages/router/src/node/peers/createPeerRelay.ts
+++ b/packages/router/src/node/peers/createPeerRelay.ts
@@ -104,8 +104,10 @@
       if (response.headers[RELAY_VERDICT_HEADER] === undefined)
         return ok({ response })
       const body = await readBody(response, MAX_FAILURE_BYTES)
-      if (body.isErr())
+      if (body.isErr()) {
+        response.destroy()
         return err({ verdict: Verdict.MayHaveRun, message: body.error })
+      }
       try {
         return ok({ failure: decodeFailure(response, body.value) })
       } catch (error) {
