Bind a relayed stream to the software version that began it

Callers saw: events of two software versions in one stream that ended as complete.

Cause: the version was recorded where a target's own response broke off. The path through a peer had no such line, and the peer did not say which version began the stream.

Change: the response relay owns the version: that of the target of the first event, or of the head if a peer reads it. A peer names it in a header of its response; a relayed request names the version that its stream must go on at, so that the peer need not find it out. Where the version is unknown (a peer of an older release) the stream is broken off, not continued. Relatives: a response of another version than the stream's is not accepted; a stream with events but without ids is broken off, it started anew; the record of the router that the caller is connected to counts, not that of the peer that relays; a target cannot set the headers that routers use between each other.

--- a/packages/router/src/node/callers/callProgress.ts
+++ b/packages/router/src/node/callers/callProgress.ts
@@ -28,8 +28,8 @@
   readonly triedPeers: Set<string>
   /** Failure that a peer reported. */
   peerFailure?: RequestFailure
-  /** Software version that began the stream, once the caller has an event of it. */
-  softwareVersion?: string
+  /** Software version that began the stream, once one has. */
+  readonly softwareVersion: string | undefined
   /** Sends that a target ran or may have run. */
   possibleRuns: number
   sends: number
@@ -48,7 +48,6 @@
   relay: ResponseRelay,
   call: Call,
 ): CallProgress {
-  const { softwareVersion } = call
   const fingerprint = requestFingerprint(call)
   return {
     relay,
@@ -57,7 +56,9 @@
       ...sharedPartIds(call.request.promptParts),
       requestTrait(fingerprint),
     ],
-    ...(softwareVersion !== undefined && { softwareVersion }),
+    get softwareVersion() {
+      return relay.softwareVersion
+    },
     tried: new Set(),
     triedPeers: new Set(),
     possibleRuns: call.relayed?.possibleRuns ?? 0,
--- a/packages/router/src/node/callers/createDispatcher.ts
+++ b/packages/router/src/node/callers/createDispatcher.ts
@@ -13,6 +13,7 @@
 import type { Peer } from '../peers/createPeerTable.js'
 import type { FleetLoad } from '../routing/createFleetLoad.js'
 import type { TargetSelector } from '../routing/createTargetSelector.js'
+import type { ResumableStreams } from '../streams/createResumableStreams.js'
 import type { TargetClient } from '../targets/createTargetClient.js'
 import { TargetFailureCause } from '../targets/targetFailure.js'
 import type { TargetProtocol } from '../targets/targetProtocol.js'
@@ -55,6 +56,7 @@
   /** Returns the peers that reach targets and know this router's configuration. */
   readonly peersWithTargets: () => readonly Peer[]
   readonly protocol: TargetProtocol
+  readonly streams: ResumableStreams
   readonly harmfulTraits: HarmfulTraits
   readonly targetList: TargetList
   readonly retryBudgetFor: (service: string) => RetryBudget
--- a/packages/router/src/node/callers/createPeerSender.ts
+++ b/packages/router/src/node/callers/createPeerSender.ts
@@ -8,6 +8,11 @@
 import { LogEvent } from '../logging/logEvent.js'
 import type { PeerRelay } from '../peers/createPeerRelay.js'
 import type { Peer } from '../peers/createPeerTable.js'
+import {
+  decodeSoftwareVersion,
+  RELAY_VERSION_HEADER,
+} from '../peers/relayedRequest.js'
+import type { ResumableStreams } from '../streams/createResumableStreams.js'
 import { TargetFailureCause } from '../targets/targetFailure.js'
 import type { TargetProtocol } from '../targets/targetProtocol.js'
 import type { Call } from './call.js'
@@ -22,6 +27,7 @@
   /** Returns the peers that reach targets and know this router's configuration. */
   readonly peersWithTargets: () => readonly Peer[]
   readonly protocol: TargetProtocol
+  readonly streams: ResumableStreams
   readonly log: DecisionLog
   /** Monotonic clock, in milliseconds. */
   readonly now: () => number
@@ -39,7 +45,7 @@
 
 /** Creates a sender. */
 export function createPeerSender(options: PeerSenderOptions): PeerSender {
-  const { reachability, peerRelay, protocol, log, now } = options
+  const { reachability, peerRelay, protocol, streams, log, now } = options
 
   function logRelayed(
     { request }: Call,
@@ -64,11 +70,20 @@
     const head = protocol.decodeHead(res, call.request.attemptId, false)
     progress.possibleRuns += 1
     progress.verdict = Verdict.Ran
-    const response = { head, res }
-    const outcome =
-      head.isForRequest && progress.relay.accepts(response)
-        ? await progress.relay.forward(response, () => undefined)
-        : RelayOutcome.Broken
+    const softwareVersion = decodeSoftwareVersion(
+      res.headers[RELAY_VERSION_HEADER],
+    )
+    const response = {
+      head,
+      res,
+      ...(softwareVersion !== undefined && { softwareVersion }),
+    }
+    const isAccepted = head.isForRequest && progress.relay.accepts(response)
+    if (isAccepted && softwareVersion !== undefined)
+      streams.recordSent(call, softwareVersion)
+    const outcome = isAccepted
+      ? await progress.relay.forward(response, () => undefined)
+      : RelayOutcome.Broken
     logRelayed(call, peer, Verdict.Ran, outcome)
     if (outcome !== RelayOutcome.Broken) return NextStep.Done
     res.destroy()
@@ -89,9 +104,11 @@
     async send(call, peer, progress) {
       progress.sends += 1
       progress.triedPeers.add(peer.router)
+      const { softwareVersion } = call
       const result = await peerRelay.send(call, peer, {
         remainingMs: call.deadlineAtMs - now(),
         possibleRuns: progress.possibleRuns,
+        ...(softwareVersion !== undefined && { softwareVersion }),
       })
       if (result.isErr()) {
         const { verdict, message } = result.error
--- a/packages/router/src/node/callers/createRequestHandler.ts
+++ b/packages/router/src/node/callers/createRequestHandler.ts
@@ -190,7 +190,7 @@
     const active = configurationStore.current
     const admitted = active
       ? admitRequest(req, request, active).andThen((value) =>
-          admitResumption(value, options.streams),
+          admitResumption(value, options.streams, relayed?.softwareVersion),
         )
       : err({
           ...failures.starting,
--- a/packages/router/src/node/callers/createResponseHandler.ts
+++ b/packages/router/src/node/callers/createResponseHandler.ts
@@ -79,8 +79,6 @@
     { res }: TargetResponse,
   ): NextStep {
     const { lastEventId } = progress.relay
-    if (lastEventId !== undefined)
-      progress.softwareVersion ??= target.softwareVersion
     res.destroy()
     health.recordOutcome(target, TargetOutcome.Failure, now())
     progress.lastCause = TargetFailureCause.Broken
--- a/packages/router/src/node/callers/createResponseRelay.ts
+++ b/packages/router/src/node/callers/createResponseRelay.ts
@@ -8,8 +8,13 @@
 import { createEventSplitter } from './createEventSplitter.js'
 import { relayBody } from './relayBody.js'
 import { RelayOutcome } from './relayOutcome.js'
-import { isResumable } from '../streams/isResumable.js'
 import { RequestKind } from '../configuration/requestKind.js'
+import {
+  encodeSoftwareVersion,
+  RELAY_VERDICT_HEADER,
+  RELAY_VERSION_HEADER,
+} from '../peers/relayedRequest.js'
+import { isResumable } from '../streams/isResumable.js'
 
 /** Response bytes that are buffered so that a truncated response can be replaced. */
 const MAX_BUFFERED_BYTES = 256 * 1024
@@ -17,7 +22,11 @@
 /** Longest event of a stream; one event holds a few tokens. */
 const MAX_EVENT_BYTES = 1024 * 1024
 
-const LENGTH_HEADERS = new Set(['content-length'])
+/** Headers by which routers talk to each other. */
+const ROUTER_HEADERS = [RELAY_VERDICT_HEADER, RELAY_VERSION_HEADER]
+const DROPPED_HEADERS = new Set(ROUTER_HEADERS)
+/** Another target may end a stream that is resumed, at another length. */
+const DROPPED_STREAM_HEADERS = new Set([...ROUTER_HEADERS, 'content-length'])
 
 /** Status of a response that continues an interrupted stream. */
 const RESUMED_STATUS = 200
@@ -28,6 +37,8 @@
   readonly headersSent: boolean
   /** Whether the response of another target may still replace or continue a truncated one. */
   readonly canReplace: boolean
+  /** Software version that began the stream: only its targets may continue it. */
+  readonly softwareVersion: string | undefined
   /** Whether the response can follow what was already sent to the caller. */
   accepts(response: TargetResponse): boolean
   /** Id of the last complete event that was forwarded. */
@@ -48,18 +59,40 @@
   const isStream = route.kind === RequestKind.Stream
   const splitter = createEventSplitter()
   let headersSent = false
+  let hasBegun = false
+  let hasEvents = false
+  let { softwareVersion } = call
+
+  /** Binds the stream to the version of the target that began it. */
+  function begin(response: TargetResponse): void {
+    if (hasBegun) return
+    hasBegun = true
+    softwareVersion ??= response.softwareVersion
+  }
 
   function sendHeaders(response: TargetResponse): void {
     const { head, res: from } = response
     headersSent = true
-    const headers = protocol.responseHeaders(from.rawHeaders)
-    res.writeHead(
-      head.status,
-      // Another target may end the stream, at another length.
-      isResumable(route) && isSuccess(response)
-        ? withoutHeaders(headers, LENGTH_HEADERS)
-        : headers,
+    const isStreamHead = isResumable(route) && isSuccess(response)
+    const headers = withoutHeaders(
+      protocol.responseHeaders(from.rawHeaders),
+      isStreamHead ? DROPPED_STREAM_HEADERS : DROPPED_HEADERS,
     )
+    if (call.relayed && isStreamHead) {
+      // The peer learns the version with the head, before the first event.
+      begin(response)
+      if (softwareVersion !== undefined)
+        headers.push(
+          RELAY_VERSION_HEADER,
+          encodeSoftwareVersion(softwareVersion),
+        )
+    }
+    res.writeHead(head.status, headers)
+  }
+
+  function isOfVersion(response: TargetResponse): boolean {
+    const version = response.softwareVersion ?? softwareVersion
+    return softwareVersion === undefined || version === softwareVersion
   }
 
   /** Whether a body may be buffered further. */
@@ -108,6 +141,10 @@
       onChunk()
       const completeEvents = splitter.push(chunk)
       if (splitter.incompleteBytes > MAX_EVENT_BYTES) response.res.destroy()
+      if (splitter.events > 0) {
+        begin(response)
+        hasEvents = true
+      }
       return route.resumable ? completeEvents : chunk
     })
     if (outcome !== RelayOutcome.Complete) return outcome
@@ -130,9 +167,19 @@
       return !isStream || splitter.events <= 1
     },
     get canReplace() {
-      return !headersSent || isResumable(route)
+      if (!headersSent) return true
+      if (!isResumable(route)) return false
+      if (hasBegun && softwareVersion === undefined) return false
+      // Without an id the stream would start anew.
+      return !hasEvents || splitter.lastEventId !== undefined
+    },
+    get softwareVersion() {
+      return softwareVersion
+    },
+    accepts(response) {
+      if (isResumable(route) && !isOfVersion(response)) return false
+      return !headersSent || response.head.status === RESUMED_STATUS
     },
-    accepts: ({ head }) => !headersSent || head.status === RESUMED_STATUS,
     forward: (response, onChunk) =>
       isStream && isSuccess(response)
         ? forwardStream(response, onChunk)
--- a/packages/router/src/node/routing/createTargetSelector.ts
+++ b/packages/router/src/node/routing/createTargetSelector.ts
@@ -153,7 +153,7 @@
     },
     recordSent(call, target) {
       limits.recordSent(target.id)
-      options.streams.recordSent(call, target)
+      options.streams.recordSent(call, target.softwareVersion)
       const key = keyOf(call)
       if (key === undefined) return
       const isNew = cacheLocations.cachedOn(key).length === 0
--- a/packages/router/src/node/streams/__tests__/createStreamVersions.test.ts
+++ b/packages/router/src/node/streams/__tests__/createStreamVersions.test.ts
@@ -10,6 +10,12 @@
 
 const LIFETIME_MS = 1_000
 
+const sent = (attemptId: string, softwareVersion: string) => ({
+  attemptId,
+  service: 'service',
+  softwareVersion,
+})
+
 describe('createStreamVersions', () => {
   it('reports streams that began before the service got a second version', () => {
     let hasSeveralVersions = false
@@ -17,7 +23,7 @@
       lifetimeMs: () => LIFETIME_MS,
       isNeeded: () => hasSeveralVersions,
     })
-    versions.record('a', 'service', 'v1', 0)
+    versions.record(sent('a', 'v1'), true, 0)
     assert.deepEqual(versions.takeUpdates(100), [])
     hasSeveralVersions = true
     assert.deepEqual(versions.takeUpdates(200), [[streamKeyOf('a'), 'v1']])
@@ -29,7 +35,7 @@
       lifetimeMs: () => LIFETIME_MS,
       isNeeded: () => false,
     })
-    versions.record('own', 'service', 'v1', 0)
+    versions.record(sent('own', 'v1'), true, 0)
     versions.merge([[streamKeyOf('peer'), 'v2']], 500)
     assert.equal(versions.find('own', 1_000), 'v1')
     assert.equal(versions.find('own', 1_001), undefined)
@@ -42,11 +48,24 @@
       lifetimeMs: () => LIFETIME_MS,
       isNeeded: () => true,
     })
-    versions.record('a', 'service', 'v1', 0)
-    versions.record('a', 'service', 'v2', 10)
+    versions.record(sent('a', 'v1'), true, 0)
+    versions.record(sent('a', 'v2'), true, 10)
     assert.equal(versions.find('a', 20), 'v2')
     assert.deepEqual(versions.takeUpdates(20), [[streamKeyOf('a'), 'v2']])
   })
+
+  it('believes the router that the caller is connected to, not the peer that relays', () => {
+    const versions = createStreamVersions({
+      lifetimeMs: () => LIFETIME_MS,
+      isNeeded: () => true,
+    })
+    versions.record(sent('own', 'v2'), true, 0)
+    versions.record(sent('relayed', 'v1'), false, 0)
+    versions.merge([[streamKeyOf('own'), 'v1']], 10)
+    versions.merge([[streamKeyOf('relayed'), 'v2']], 10)
+    assert.equal(versions.find('own', 20), 'v2')
+    assert.equal(versions.find('relayed', 20), 'v2')
+  })
 })
 
 describe('stream versions in a digest', () => {
--- a/packages/router/src/node/streams/createResumableStreams.ts
+++ b/packages/router/src/node/streams/createResumableStreams.ts
@@ -1,6 +1,5 @@
 import type { Call } from '../callers/call.js'
 import type { TargetList } from '../targets/createTargetList.js'
-import type { Target } from '../targets/target.js'
 import { createStreamVersions } from './createStreamVersions.js'
 import {
   createVersionHistory,
@@ -32,8 +31,8 @@
 
 /** Knows which software version began each stream that a caller may resume. */
 export interface ResumableStreams {
-  /** Records that a call is sent to a target. */
-  recordSent(call: Call, target: Target): void
+  /** Records that a call is sent to a target of a software version. */
+  recordSent(call: Call, softwareVersion: string): void
   /** Returns the version that began the stream of an attempt; undefined if it is unknown. */
   findVersion(
     service: string,
@@ -75,10 +74,13 @@
   })
 
   return {
-    recordSent(call, { softwareVersion }) {
-      if (!isResumable(call.route)) return
-      const { request, service } = call
-      versions.record(request.attemptId, service, softwareVersion, now())
+    recordSent({ request, relayed, route, service }, softwareVersion) {
+      if (!isResumable(route)) return
+      versions.record(
+        { attemptId: request.attemptId, service, softwareVersion },
+        relayed === undefined,
+        now(),
+      )
     },
     findVersion(service, attemptId) {
       const known =
--- a/packages/router/src/node/streams/createStreamVersions.ts
+++ b/packages/router/src/node/streams/createStreamVersions.ts
@@ -1,15 +1,20 @@
 import { streamKeyOf, type StreamVersion } from './streamVersion.js'
 
+/** A stream and the software version of the target that it is sent to. */
+export interface SentStream {
+  readonly attemptId: string
+  readonly service: string
+  readonly softwareVersion: string
+}
+
 /** Software versions that began streams, from this router and its peers. */
 export interface StreamVersions {
-  /** Records the version of the target that a stream of this router is sent to. */
-  record(
-    attemptId: string,
-    service: string,
-    softwareVersion: string,
-    nowMs: number,
-  ): void
-  /** Adds streams of peers. */
+  /**
+   * Records a stream that this router sends to a target, or that a peer relays.
+   * @param isOwn Whether its caller is connected to this router, which then knows best.
+   */
+  record(stream: SentStream, isOwn: boolean, nowMs: number): void
+  /** Adds streams of peers, other than those whose callers are connected to this router. */
   merge(streams: readonly StreamVersion[], nowMs: number): void
   /** Returns the version that began the stream of an attempt; undefined if it is unknown. */
   find(attemptId: string, nowMs: number): string | undefined
@@ -30,6 +35,7 @@
 interface Entry {
   readonly softwareVersion: string
   readonly recordedAtMs: number
+  readonly isOwn: boolean
 }
 
 interface OwnEntry extends Entry {
@@ -69,15 +75,18 @@
   }
 
   return {
-    record(attemptId, service, softwareVersion, nowMs) {
+    record({ attemptId, service, softwareVersion }, isOwn, nowMs) {
       const key = streamKeyOf(attemptId)
-      const entry = { service, softwareVersion, recordedAtMs: nowMs }
+      const entry = { service, softwareVersion, isOwn, recordedAtMs: nowMs }
       add(streams, key, entry)
       add(unreported, key, entry)
     },
     merge(received, nowMs) {
-      for (const [key, softwareVersion] of received)
-        add(streams, key, { softwareVersion, recordedAtMs: nowMs })
+      for (const [key, softwareVersion] of received) {
+        if (streams.get(key)?.isOwn) continue
+        const entry = { softwareVersion, isOwn: false, recordedAtMs: nowMs }
+        add(streams, key, entry)
+      }
     },
     find(attemptId, nowMs) {
       removeOld(streams, nowMs)
--- a/packages/router/src/node/targets/createTargetClient.ts
+++ b/packages/router/src/node/targets/createTargetClient.ts
@@ -21,6 +21,8 @@
 export interface TargetResponse {
   readonly head: ResponseHead
   readonly res: IncomingMessage
+  /** Software version of the target; absent if a peer of an older release relays the response. */
+  readonly softwareVersion?: string
 }
 
 /** One send of a call. */
@@ -157,7 +159,8 @@
     const head = protocol.decodeHead(res, call.request.attemptId, isReused)
     if (head.statement) options.onStatement(target, head.statement)
     const failure = findFailure(head)
-    if (!failure) return ok({ head, res })
+    if (!failure)
+      return ok({ head, res, softwareVersion: target.softwareVersion })
     if (!DISTRUSTED.has(failure.cause)) drainBody(res)
     else {
       res.destroy()
