--- a/packages/router/src/node/callers/createResponseRelay.ts
+++ b/packages/router/src/node/callers/createResponseRelay.ts
@@ -137,10 +137,14 @@
       res.flushHeaders()
     }
     splitter.reset()
+    let eventBytes = 0
     const outcome = await relayBody(response.res, res, signal, (chunk) => {
       onChunk()
       const completeEvents = splitter.push(chunk)
-      if (splitter.incompleteBytes > MAX_EVENT_BYTES) response.res.destroy()
+      const growth = Math.max(0, splitter.incompleteBytes - eventBytes)
+      eventBytes += growth
+      if (eventBytes > MAX_EVENT_BYTES || !memory.tryGrow(growth))
+        response.res.destroy()
       if (splitter.events > 0) {
         begin(response)
         hasEvents = true
