Infer a stream's version only from a list that no stream can be ahead of

Cause, by reading: a router infers the version of a stream that it has no record of when its service had one version only, from a list up to 1 s old, or of any age beside a live peer. Routers that are cut off together keep each other alive, so that they infer for as long as the cut lasts; a router that is cut off alone infers for a second, in which others already begin streams at a target that has joined.

Change: a list counts up to an age of 1.5 s, whatever peers are alive; and a router begins resumable streams at a new version only 3 s after it has learnt of it (the age of a fresh list, 0.8 s of a poll, 0.7 s of an unnoticed pause), unless there are no other targets. While its list is out of date, a router reports its streams to peers, so that an outage of the log leaves the version known.

--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -112,7 +112,7 @@
     targetList,
     startsFleet: settings.router.startsFleet,
     isListLoaded: () => targets.isLoaded(),
-    isListFresh: () => isListFresh(targets.ageMs(), livePeerCount()),
+    isListFresh: () => isListFresh(targets.ageMs()),
     lifetimeMs: createStreamLifetime(() => configurationStore.current),
     now,
   })
--- a/packages/router/src/node/routing/createTargetSelector.ts
+++ b/packages/router/src/node/routing/createTargetSelector.ts
@@ -100,6 +100,19 @@
   const ownTokens = ({ request }: Call): number =>
     request.promptParts.at(-1)?.tokens ?? 0
 
+  /** Returns the targets at which a stream may begin; all if it has begun, or there are no others. */
+  function withKnownVersion(
+    call: Call,
+    softwareVersion: string | undefined,
+    targets: Target[],
+  ): Target[] {
+    if (softwareVersion !== undefined) return targets
+    const known = targets.filter((target) =>
+      options.streams.mayBegin(call, target),
+    )
+    return known.length > 0 ? known : targets
+  }
+
   return {
     select(call, { tried, softwareVersion }) {
       const { service, request } = call
@@ -110,10 +123,14 @@
         limits.maySend(target) &&
         (softwareVersion ?? target.softwareVersion) === target.softwareVersion
       const allowed = ready.filter(isAllowed)
-      const available = health
-        .eligibleTargets(service, ready, nowMs)
-        .filter(isAllowed)
-        .filter(({ id }) => !stallDetector.isStalled(id, nowMs))
+      const available = withKnownVersion(
+        call,
+        softwareVersion,
+        health
+          .eligibleTargets(service, ready, nowMs)
+          .filter(isAllowed)
+          .filter(({ id }) => !stallDetector.isStalled(id, nowMs)),
+      )
       const key = keyOf(call)
       const promptTokens = tokensOf(request.promptParts)
       const cachedOn = key === undefined ? [] : cacheLocations.cachedOn(key)
--- a/packages/router/src/node/streams/createResumableStreams.ts
+++ b/packages/router/src/node/streams/createResumableStreams.ts
@@ -1,10 +1,12 @@
 import type { Call } from '../callers/call.js'
 import type { TargetList } from '../targets/createTargetList.js'
+import type { Target } from '../targets/target.js'
 import { createStreamVersions } from './createStreamVersions.js'
 import {
   createVersionHistory,
   type VersionHistoryState,
 } from './createVersionHistory.js'
+import { VERSION_SPREAD_MS } from './isListFresh.js'
 import { isResumable } from './isResumable.js'
 import type { StreamVersion } from './streamVersion.js'
 
@@ -33,6 +35,11 @@
 export interface ResumableStreams {
   /** Records that a call is sent to a target of a software version. */
   recordSent(call: Call, softwareVersion: string): void
+  /**
+   * Whether a call may begin a stream at a target: every router that may be asked to
+   * resume it must know the version, or know that there are several.
+   */
+  mayBegin(call: Call, target: Target): boolean
   /** Returns the version that began the stream of an attempt; undefined if it is unknown. */
   findVersion(
     service: string,
@@ -70,7 +77,9 @@
 
   const versions = createStreamVersions({
     lifetimeMs,
-    isNeeded: (service) => soleVersion(service) === undefined,
+    // A router whose list is out of date infers no version.
+    isNeeded: (service) =>
+      !options.isListFresh() || soleVersion(service) === undefined,
   })
 
   return {
@@ -82,6 +91,11 @@
         now(),
       )
     },
+    mayBegin({ route, service }, { softwareVersion }) {
+      if (!isResumable(route)) return true
+      observeTargets()
+      return history.ageMs(service, softwareVersion, now()) > VERSION_SPREAD_MS
+    },
     findVersion(service, attemptId) {
       const known =
         attemptId === undefined ? undefined : versions.find(attemptId, now())
--- a/packages/router/src/node/streams/createVersionHistory.ts
+++ b/packages/router/src/node/streams/createVersionHistory.ts
@@ -14,12 +14,20 @@
   readonly versions: readonly ListedVersion[]
 }
 
+/** Times between which targets of a version were listed; the last is infinite while one is. */
+interface ListedSpan {
+  readonly sinceMs: number
+  readonly untilMs: number
+}
+
 /** Software versions that the targets of each service had lately. */
 export interface VersionHistory {
   /** Records the listed targets. */
   observe(targets: Iterable<Target>, nowMs: number): void
   /** Adds the history of a peer. */
   merge(state: VersionHistoryState, nowMs: number): void
+  /** Returns the milliseconds since a version of a service was first seen; 0 if it was not. */
+  ageMs(service: string, softwareVersion: string, nowMs: number): number
   /** Returns the only version that a service had within the lifetime of a stream; undefined if there were others or they are unknown. */
   soleVersion(service: string, nowMs: number): string | undefined
   state(nowMs: number): VersionHistoryState
@@ -30,23 +38,32 @@
  * @param lifetimeMs Returns the milliseconds for which a caller may still resume a stream.
  */
 export function createVersionHistory(lifetimeMs: () => number): VersionHistory {
-  /** Time at which a target of each version was last listed; infinite while one is. */
-  const listedUntilMs = new Map<string, Map<string, number>>()
+  const listed = new Map<string, Map<string, ListedSpan>>()
   let coveredSinceMs = Infinity
 
-  function record(service: string, version: string, untilMs: number): void {
-    const versions = listedUntilMs.get(service) ?? new Map<string, number>()
-    listedUntilMs.set(service, versions)
-    versions.set(version, Math.max(versions.get(version) ?? 0, untilMs))
+  function record(
+    service: string,
+    version: string,
+    sinceMs: number,
+    untilMs: number,
+  ): void {
+    const versions = listed.get(service) ?? new Map<string, ListedSpan>()
+    listed.set(service, versions)
+    const known = versions.get(version)
+    versions.set(version, {
+      sinceMs: Math.min(known?.sinceMs ?? Infinity, sinceMs),
+      untilMs: Math.max(known?.untilMs ?? 0, untilMs),
+    })
   }
 
   function endCurrent(nowMs: number): void {
-    for (const [service, versions] of listedUntilMs) {
-      for (const [version, untilMs] of versions) {
-        if (untilMs === Infinity) versions.set(version, nowMs)
+    for (const [service, versions] of listed) {
+      for (const [version, { sinceMs, untilMs }] of versions) {
+        if (untilMs === Infinity)
+          versions.set(version, { sinceMs, untilMs: nowMs })
         else if (untilMs < nowMs - lifetimeMs()) versions.delete(version)
       }
-      if (versions.size === 0) listedUntilMs.delete(service)
+      if (versions.size === 0) listed.delete(service)
     }
   }
 
@@ -55,18 +72,22 @@
       coveredSinceMs = Math.min(coveredSinceMs, nowMs)
       endCurrent(nowMs)
       for (const { service, softwareVersion } of targets)
-        record(service, softwareVersion, Infinity)
+        record(service, softwareVersion, nowMs, Infinity)
     },
     merge({ coveredMs, versions }, nowMs) {
       coveredSinceMs = Math.min(coveredSinceMs, nowMs - coveredMs)
       for (const [service, version, ageMs] of versions)
-        record(service, version, nowMs - ageMs)
+        record(service, version, nowMs, nowMs - ageMs)
+    },
+    ageMs(service, softwareVersion, nowMs) {
+      const span = listed.get(service)?.get(softwareVersion)
+      return span ? nowMs - span.sinceMs : 0
     },
     soleVersion(service, nowMs) {
       const sinceMs = nowMs - lifetimeMs()
       if (coveredSinceMs > sinceMs) return undefined
       let sole: string | undefined
-      for (const [version, untilMs] of listedUntilMs.get(service) ?? []) {
+      for (const [version, { untilMs }] of listed.get(service) ?? []) {
         if (untilMs < sinceMs) continue
         if (sole !== undefined) return undefined
         sole = version
@@ -75,8 +96,8 @@
     },
     state(nowMs) {
       const versions: ListedVersion[] = []
-      for (const [service, byVersion] of listedUntilMs)
-        for (const [version, untilMs] of byVersion)
+      for (const [service, byVersion] of listed)
+        for (const [version, { untilMs }] of byVersion)
           versions.push([service, version, Math.max(0, nowMs - untilMs)])
       return { coveredMs: Math.max(0, nowMs - coveredSinceMs), versions }
     },
--- a/packages/router/src/node/streams/isListFresh.ts
+++ b/packages/router/src/node/streams/isListFresh.ts
@@ -1,11 +1,17 @@
-/** A target list up to this age, in milliseconds, has the targets that other routers may have sent requests to. */
-const FRESH_AGE_MS = 1_000
+/** A target list up to this age, in milliseconds, is compared with what other routers may know. */
+const FRESH_AGE_MS = 1_500
 
 /**
- * Whether a target that another router knows would be in this router's list.
+ * Milliseconds after which every router that trusts its target list has a new software
+ * version in it: the age of a fresh list, the time that its poll may have taken, and a
+ * pause of the process that is too short to be noticed.
+ */
+export const VERSION_SPREAD_MS = FRESH_AGE_MS + 800 + 700
+
+/**
+ * Whether a list has every software version that another router begins streams at.
  * @param ageMs Staleness of the list; infinite after a pause of the process.
  */
-export function isListFresh(ageMs: number, livePeers: number): boolean {
-  // Live peers pass on any newer list that one of them has.
-  return ageMs <= FRESH_AGE_MS || (livePeers > 0 && Number.isFinite(ageMs))
+export function isListFresh(ageMs: number): boolean {
+  return ageMs <= FRESH_AGE_MS
 }
