Refuse requests that would not end within a planned stop

Cause: while a router stops it took requests whatever time they need, and closed what was left at the end.

Change: a request is refused as not run, with a time to come back, if nine in ten of the last 64 of its route took longer than is left. At the end the remaining requests are aborted as at their deadline: 504 where no response head was sent.

A first form went by the slowest request of a route, or by its limit if there was none: it refused requests of a router that had just started (2 tests red) and was dropped.

--- a/packages/router/src/node/callers/createRequestHandler.ts
+++ b/packages/router/src/node/callers/createRequestHandler.ts
@@ -7,7 +7,7 @@
 } from '@auburnbay/http-utils/createBufferBudget'
 import { findHeaderFault } from '@auburnbay/http-utils/findHeaderFault'
 import { BodyError, readBody } from '@auburnbay/http-utils/readBody'
-import { err } from 'neverthrow'
+import { err, ok } from 'neverthrow'
 import type { ConfigurationStore } from '../configuration/createConfigurationStore.js'
 import type { DecisionLog } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
@@ -15,6 +15,10 @@
 import type { RelayedRequest } from '../peers/relayedRequest.js'
 import type { ResumableStreams } from '../streams/createResumableStreams.js'
 import { affinityKey } from '../routing/affinityKey.js'
+import {
+  createStopAdmission,
+  type StopAdmission,
+} from '../stopping/createStopAdmission.js'
 import { type AdmittedRequest, admitRequest } from './admitRequest.js'
 import { admitRelayed } from './admitRelayed.js'
 import { admitResumption } from './admitResumption.js'
@@ -23,6 +27,7 @@
 import type { CallerRequest } from './callerRequest.js'
 import type { Dispatcher } from './createDispatcher.js'
 import { failures } from './failures.js'
+import { limitMsOf } from './limitMsOf.js'
 import { requestEnd } from './requestEnd.js'
 import { sendFailure } from './sendFailure.js'
 import { startingRetryAfterS } from './startingRetryAfterS.js'
@@ -59,10 +64,10 @@
     res: ServerResponse,
     relayed?: RelayedRequest,
   ): void
-  /** Closes each connection after its current or next response. */
-  disableKeepAlive(): void
-  /** Refuses further requests as not run. */
-  refuseRequests(): void
+  /** Which requests are taken while the router stops; each connection then ends after its current or next response. */
+  readonly stopAdmission: StopAdmission
+  /** Ends the remaining requests with an error response. */
+  abortRequests(): void
 }
 
 /** Creates a handler. */
@@ -73,8 +78,8 @@
     options
   const bodies = createBufferBudget(MAX_BODIES_BYTES)
   let inFlight = 0
-  let keepAliveDisabled = false
-  let isRefusing = false
+  const aborters = new Set<AbortController>()
+  const stopAdmission = createStopAdmission(now)
 
   function refuse(
     res: ServerResponse,
@@ -102,16 +107,15 @@
   ) {
     const { request, route } = admitted
     const startedAtMs = now()
-    const limitMs = Math.min(
-      route.timeoutMs,
-      admitted.relayed?.remainingMs ?? request.deadlineMs ?? Infinity,
-    )
+    const limitMs = limitMsOf(admitted)
     const aborter = new AbortController()
+    aborters.add(aborter)
     const timer = setTimeout(() => {
       aborter.abort()
     }, limitMs)
     res.once('close', () => {
       aborter.abort()
+      aborters.delete(aborter)
     })
     const call: Call = {
       ...admitted,
@@ -128,6 +132,7 @@
       sendFailure(res, failure, admitted.relayed !== undefined)
     const status = failure?.status ?? res.statusCode
     const elapsedMs = now() - startedAtMs
+    stopAdmission.recordEnd(route.name, elapsedMs)
     metrics.recordRequest(
       route.name,
       callerGone ? 0 : status,
@@ -186,12 +191,18 @@
       refuse(res, request, failures.badRequest, isRelayed)
       return
     }
-    if (keepAliveDisabled) res.shouldKeepAlive = false
+    if (stopAdmission.isStopping) res.shouldKeepAlive = false
     const active = configurationStore.current
     const admitted = active
-      ? admitRequest(req, request, active).andThen((value) =>
-          admitResumption(value, options.streams, relayed?.softwareVersion),
-        )
+      ? admitRequest(req, request, active)
+          .andThen((value) =>
+            admitResumption(value, options.streams, relayed?.softwareVersion),
+          )
+          .andThen((value) =>
+            stopAdmission.takes(value.route, limitMsOf(value))
+              ? ok(value)
+              : err(failures.stopping),
+          )
       : err({
           ...failures.starting,
           retryAfterS: startingRetryAfterS(
@@ -199,10 +210,6 @@
             request.attemptId,
           ),
         })
-    if (isRefusing) {
-      refuse(res, request, failures.stopping, isRelayed)
-      return
-    }
     if (admitted.isErr()) {
       refuse(res, request, admitted.error, isRelayed)
       return
@@ -216,6 +223,7 @@
   }
 
   return {
+    stopAdmission,
     get inFlight() {
       return inFlight
     },
@@ -234,11 +242,8 @@
           sendFailure(res, failures.internal, relayed !== undefined)
       })
     },
-    disableKeepAlive() {
-      keepAliveDisabled = true
-    },
-    refuseRequests() {
-      isRefusing = true
+    abortRequests() {
+      for (const aborter of aborters) aborter.abort()
     },
   }
 }
--- a/packages/router/src/node/stopping/createGracefulStop.ts
+++ b/packages/router/src/node/stopping/createGracefulStop.ts
@@ -37,15 +37,18 @@
   async function stopOnce(): Promise<void> {
     const startedAtMs = now()
     log.write(LogEvent.Stopping, { inFlight: handler.inFlight })
-    handler.disableKeepAlive()
-    options.onStopping()
     const gracePeriodMs = options.gracePeriodMs()
     const endMs = startedAtMs + gracePeriodMs - STOP_MARGIN_MS
+    handler.stopAdmission.begin(endMs)
+    options.onStopping()
     await sleep(Math.min(LOAD_BALANCER_DELAY_MS, gracePeriodMs / 2))
-    handler.refuseRequests()
+    handler.stopAdmission.refuseAll()
     callers.stopListening()
     await waitForRequests(endMs)
-    log.write(LogEvent.Stopped, { brokenOff: handler.inFlight })
+    const brokenOff = handler.inFlight
+    handler.abortRequests()
+    await waitForRequests(endMs + STOP_MARGIN_MS / 2)
+    log.write(LogEvent.Stopped, { brokenOff })
     callers.close()
     await options.close()
   }
