Count each target that crashes under one and the same request

Cause: targets that crash under requests sent before the last counted crash count once, as those of a rack fail together; that held for one and the same request too.

Change: for the trait of a request, each target counts. Prompt parts, which many requests share, are as before.

--- a/packages/router/src/node/crashes/__tests__/findSuspectTraits.test.ts
+++ b/packages/router/src/node/crashes/__tests__/findSuspectTraits.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { findSuspectTraits } from '../findSuspectTraits.js'
+import { requestTrait } from '../requestTrait.js'
 import type { TargetCrash } from '../targetCrash.js'
 
 function crash(
@@ -44,6 +45,19 @@
     assert.equal(suspects.get('a')?.crashes, 1)
   })
 
+  /** Guards against a harmful request that comes again at several routers at once (issue 44, review/5). */
+  it('counts each target that crashes under one and the same request at once', () => {
+    const trait = requestTrait('fingerprint')
+    const crashes = [
+      crash('i-1', 1_000, ['a', trait]),
+      crash('i-2', 1_010, ['a', trait], 300),
+      crash('i-3', 1_020, ['a', trait], 400),
+    ]
+    const suspects = findSuspectTraits(crashes, NEVER_ANSWERED)
+    assert.equal(suspects.get(trait)?.crashes, 3)
+    assert.equal(suspects.get('a')?.crashes, 1)
+  })
+
   it('ignores crashes before a trait was answered', () => {
     const crashes = [
       crash('i-1', 1_000, ['a', 'bad']),
--- a/packages/router/src/node/crashes/findSuspectTraits.ts
+++ b/packages/router/src/node/crashes/findSuspectTraits.ts
@@ -1,8 +1,9 @@
+import { isRequestTrait } from './requestTrait.js'
 import type { TargetCrash } from './targetCrash.js'
 
 /** A trait of requests under which targets crashed. */
 export interface SuspectTrait {
-  /** Crashes of different targets, each under a request sent after the one before. */
+  /** Crashes of different targets; under a prompt part, each by a request sent after the one before. */
   readonly crashes: number
   /** Traits with which every one of these crashes can be explained as well. */
   readonly common: readonly string[]
@@ -24,6 +25,7 @@
 }
 
 function addCrash(
+  trait: string,
   series: CrashSeries,
   { target, sentAtMs, crashedAtMs, traits }: TargetCrash,
 ): void {
@@ -32,14 +34,16 @@
     for (const trait of traits) known.add(trait)
     return
   }
-  if (sentAtMs < series.lastCrashAtMs) return
+  // Targets that fail together seldom run one and the same request.
+  if (sentAtMs < series.lastCrashAtMs && !isRequestTrait(trait)) return
   series.traitsByTarget.set(target, new Set(traits))
   series.lastCrashAtMs = crashedAtMs
 }
 
 /**
  * Returns the traits under which targets crashed, by crashes since each trait was last answered.
- * Targets that crash together, as when a rack fails, count once: their requests were sent before.
+ * For a prompt part, targets that crash together, as when a rack fails, count once: their
+ * requests were sent before.
  * @param answeredAtMs Returns when a trait was last answered; -Infinity if it was not.
  */
 export function findSuspectTraits(
@@ -53,7 +57,7 @@
     for (const trait of traits) {
       if (crashedAtMs <= answeredAtMs(trait)) continue
       const series = seriesByTrait.get(trait)
-      if (series) addCrash(series, crash)
+      if (series) addCrash(trait, series, crash)
       else
         seriesByTrait.set(trait, {
           firstCrashAtMs: crashedAtMs,
