Let only bodies of many chunks change how Node's server reads

A listener for the data of a connection makes Node's HTTP server pass each read through JavaScript, for the rest of the connection's life.

The cost of it was not measured on its own.

--- a/packages/http-utils/src/node/createBodyReader.ts
+++ b/packages/http-utils/src/node/createBodyReader.ts
@@ -39,6 +39,7 @@
   const control = readControlOf(socket)
   const collector = createByteCollector()
   let restTimer: NodeJS.Timeout | undefined
+  let pieceCount = 0
   let ended = false
 
   function endRest(): void {
@@ -82,6 +83,9 @@
   }
 
   function onPiece(piece: Buffer): void {
+    pieceCount += 1
+    // Otherwise Node's HTTP server runs the next tick after each chunk, not after each read.
+    if (pieceCount === MAX_PIECES_AT_ONCE) socket.on('data', ignoreData)
     collector.add(piece)
     // The rest of the read is parsed before the next tick.
     if (collector.pieces === 1) process.nextTick(flush)
@@ -103,9 +107,6 @@
     finish(message.complete && message.readableEnded)
   }
 
-  // Otherwise Node's HTTP server runs the next tick after each chunk, not after each read.
-  if (message.headers['transfer-encoding'] !== undefined)
-    socket.on('data', ignoreData)
   message.on('data', onPiece)
   message.on('end', onMessageEnd)
   message.on('error', onBroken)
