Let no bytes count against a budget after their request has ended

A body that breaks off may bring its last bytes after the response has closed; they would count against the memory for bodies for good, until larger bodies are refused. Found by reading. The test of the budget was red before: a lease grew after its end.

--- a/packages/http-utils/src/node/__tests__/smallPieces.test.ts
+++ b/packages/http-utils/src/node/__tests__/smallPieces.test.ts
@@ -158,7 +158,10 @@
           assert.ok(budget.usedBytes <= 500_000)
           return lease
         })
-        for (const lease of leases) lease.end()
+        for (const lease of leases) {
+          lease.end()
+          assert.ok(!lease.tryGrow(200_000))
+        }
         assert.equal(budget.usedBytes, 0)
       }),
     )
--- a/packages/http-utils/src/node/createBufferBudget.ts
+++ b/packages/http-utils/src/node/createBufferBudget.ts
@@ -1,6 +1,6 @@
 /** Memory that one request uses of a budget. */
 export interface BufferLease {
-  /** Returns whether there is room for `bytes` more, which then count. */
+  /** Returns whether there is room for `bytes` more, which then count; never after the end. */
   tryGrow(bytes: number): boolean
   /** Returns all that the request uses. */
   end(): void
@@ -24,9 +24,11 @@
     },
     lease() {
       let held = 0
+      let ended = false
       const counted = (): number => Math.max(0, held - FREE_BYTES)
       return {
         tryGrow(bytes) {
+          if (ended) return false
           const before = counted()
           held += bytes
           const growth = counted() - before
@@ -40,6 +42,7 @@
         end() {
           usedBytes -= counted()
           held = 0
+          ended = true
         },
       }
     },
