--- a/packages/http-utils/src/node/exchange.ts
+++ b/packages/http-utils/src/node/exchange.ts
@@ -169,16 +169,15 @@
     req.once('response', (res) => {
       clearTimeout(timer)
       response = res
+      // The reader of the body gets the error; before there is one, it must not be unhandled.
+      res.on('error', () => undefined)
       const fault = findHeadFault(res)
       if (fault !== undefined) {
-        res.on('error', () => undefined)
         res.destroy()
         fail(fault)
         return
       }
       if (!hasLength(res)) pauseBetweenReads(res.socket)
-      // The reader of the body gets the error; before there is one, it must not be unhandled.
-      res.on('error', () => undefined)
       resolve(ok(res))
     })
   })
--- a/packages/router/src/node/callers/createEventSplitter.ts
+++ b/packages/router/src/node/callers/createEventSplitter.ts
@@ -1,4 +1,5 @@
 import { createByteCollector } from '@auburnbay/http-utils/createByteCollector'
+import { findHeaderFault } from '@auburnbay/http-utils/findHeaderFault'
 
 /** Splits an event stream at event boundaries without changing its bytes. */
 export interface EventSplitter {
@@ -28,7 +29,6 @@
 const ID_FIELD = 'id:'
 /** Longest id that is sent to a target. */
 const MAX_ID_LENGTH = 1_024
-const HEADER_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/
 
 /** Returns the value of the last `id` line; undefined if there is none. */
 function findLastId(events: Buffer): string | undefined {
@@ -40,7 +40,8 @@
 }
 
 function isSendable(id: string): boolean {
-  return id.length <= MAX_ID_LENGTH && HEADER_VALUE.test(id)
+  const fault = findHeaderFault(['last-event-id', id])
+  return id.length <= MAX_ID_LENGTH && fault === undefined
 }
 
 /** Creates a splitter for one stream, whose lines end with LF or CR LF. Each byte is looked at once, however small the chunks are. */
