--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -47,9 +47,11 @@
 }
 /** Times from the start of traffic, in milliseconds. */
 const HARMFUL_STARTS_MS = 8_000
-const HARMFUL_EVERY_MS = 1_500
-const LAST_NEW_MS = 50_000
-const SOUND_EVERY_MS = 100
+/** The page's own day: a share of 0.03 for 20 s. */
+const HARMFUL_ENDS_MS = 28_000
+const HARMFUL_EVERY_MS = 1_100
+const LAST_NEW_MS = 32_000
+const SOUND_EVERY_MS = 30
 /** A crashed replica is back after some seconds. */
 const BACK_AFTER_MS = 3_000
 
@@ -59,7 +61,7 @@
   let isOver = false
   try {
     store.put('config', CONFIGURATION)
-    for (let i = 1; i <= 6; i += 1) {
+    for (let i = 1; i <= 12; i += 1) {
       const replica = await deployment.addReplica({
         id: `i-${i}`,
         service: 'model',
@@ -110,6 +112,7 @@
         status: seen.status,
         events: seen.events.length,
         reason: seen.reason,
+        tookMs: seen.endedAt - seen.sentAt,
       })
     }
 
@@ -117,7 +120,8 @@
     let harmfulAt = startedAt + HARMFUL_STARTS_MS
     while (Date.now() - startedAt < LAST_NEW_MS) {
       plays.push(play('sound'))
-      if (isTroubled && Date.now() >= harmfulAt) {
+      const isOn = isTroubled && Date.now() < startedAt + HARMFUL_ENDS_MS
+      if (isOn && Date.now() >= harmfulAt) {
         harmfulAt += HARMFUL_EVERY_MS
         plays.push(play('harmful'))
       }
--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -109,6 +109,8 @@
           status: seen.status,
           events: seen.events.length,
           reason: seen.reason,
+          tookMs: seen.endedAt - seen.sentAt,
+          ...(seen.status >= 400 && { body: seen.body }),
         })
         if (isInTouch && isAfter && router.isInTouch()) {
           const table = first === undefined ? begun : takenUp
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -82,13 +82,14 @@
 }
 
 const ROUTER_PORTS = [8_227, 8_220, 7_340, 9_464]
+const REPLICA_PORT = 8_120
 
 /** Returns a part of the loopback network on which nothing listens. */
 async function freeNetwork(machines) {
   for (;;) {
     const part = () => 1 + Math.floor(Math.random() * 250)
     const network = `127.${part()}.${part()}`
-    const checks = []
+    const checks = [isFree(`${network}.100`, REPLICA_PORT)]
     for (let i = 1; i <= machines; i += 1)
       for (const port of ROUTER_PORTS)
         checks.push(isFree(`${network}.${i}`, port))
@@ -230,14 +231,14 @@
     const replica = {
       ...options,
       host,
-      port: 8_120,
+      port: REPLICA_PORT,
       child: undefined,
       start(changes = {}) {
         const all = {
           ...options,
           ...changes,
           host,
-          port: 8_120,
+          port: REPLICA_PORT,
           store: store.address,
         }
         const child = start(process.execPath, [REPLICA, JSON.stringify(all)], {
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -98,6 +98,11 @@
       if (bytes > maxBytes && page.length > 0) break
       page.push(topic.records[at])
     }
+    const next = from + page.length
+    const end = topic.records.length
+    // A page that ends before the end of the log.
+    if (next < end)
+      record({ event: 'page', topic: query.get('topic'), from, next, end })
     res.end(Buffer.concat([head, ...page]))
   }
 
