Keep the software versions of services in the log

Cause: a router infers the version of an unknown stream from what its service had within the lifetime of a stream. That came from its own list and from peers; a fleet of which no router lived on knew nothing for 24 s.

Change: the router that polls the targets writes the recent versions of each service to a topic of the log when they change. A router reads them once, when it starts. A record from before a restore of the log names versions but is not taken as complete.

--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -24,9 +24,7 @@
 import { createRoutingState } from './routing/createRoutingState.js'
 import { createLogFollowers } from './sources/createLogFollowers.js'
 import type { RouterSettings } from './settings/settingsSchema.js'
-import { createResumableStreams } from './streams/createResumableStreams.js'
-import { createStreamLifetime } from './streams/createStreamLifetime.js'
-import { isListFresh } from './streams/isListFresh.js'
+import { createStreamState } from './streams/createStreamState.js'
 import { watchPauses } from './watchPauses.js'
 
 /** A running router. */
@@ -79,7 +77,6 @@
   const { targetList, load, cacheLocations, reachability } = routingState
   const fleetSize = createFleetSize(settings.router.id)
   const metrics = createRouterMetrics()
-
   const applyConfiguration = createConfigurationActivator(
     configurationStore,
     () => peers.current?.broadcast(),
@@ -111,12 +108,14 @@
     configurationPollAgeMs: () => configurations.lastPollAgeMs(),
     applyConfiguration,
   })
-  const streams = createResumableStreams({
-    targetList,
+  const { streams, storage: versionStorage } = createStreamState({
+    ports,
+    ...routingState,
+    targets,
+    configurationStore,
     startsFleet: settings.router.startsFleet,
-    isListLoaded: () => targets.isLoaded(),
-    isListFresh: () => isListFresh(targets.ageMs()),
-    lifetimeMs: createStreamLifetime(() => configurationStore.current),
+    isWriter: () => peers.current?.hasFreshTargetReader() === false,
+    log,
     now,
   })
   peers.current = await createPeers({
@@ -227,6 +226,7 @@
       configurations.stop()
       targets.stop()
       harmfulTraitGuard.stop()
+      versionStorage.stop()
       peers.current?.close()
       callPath.close()
       await statusServers.close()
--- a/packages/router/src/node/logging/logEvent.ts
+++ b/packages/router/src/node/logging/logEvent.ts
@@ -27,6 +27,7 @@
   SourceUnavailable = 'source-lost',
   SourceRecovered = 'source-regained',
   LogRestored = 'log-restored',
+  StreamVersionsRead = 'stream-versions-read',
   RestoreCountRejected = 'restore-count-rejected',
   EntryRejected = 'entry-rejected',
   PartBlocked = 'part-blocked',
--- a/packages/router/src/node/routerPorts.ts
+++ b/packages/router/src/node/routerPorts.ts
@@ -6,6 +6,7 @@
 import type { StoredHarmfulTrait } from './crashes/storedHarmfulTrait.js'
 import type { KeyedSource } from './sources/keyedSource.js'
 import type { KeyedStore } from './sources/keyedStore.js'
+import type { StoredVersions } from './streams/storedVersions.js'
 import type { CacheInventory } from './targets/cacheInventory.js'
 import type { ListedTarget } from './targets/target.js'
 import type { TargetProtocol } from './targets/targetProtocol.js'
@@ -29,6 +30,8 @@
   readonly directory: RouterDirectory
   /** Harmful traits of requests by id, which outlive all routers. */
   readonly harmfulTraits: KeyedStore<StoredHarmfulTrait>
+  /** Software versions by service at which streams began, which outlive all routers. */
+  readonly streamVersions: KeyedStore<StoredVersions>
   readonly cacheInventory: CacheInventory
   /** Restores of the log that holds configurations, targets and the directory. */
   readonly logRestores: LogRestores
--- a/packages/router/src/node/streams/createResumableStreams.ts
+++ b/packages/router/src/node/streams/createResumableStreams.ts
@@ -8,6 +8,7 @@
 } from './createVersionHistory.js'
 import { VERSION_SPREAD_MS } from './isListFresh.js'
 import { isResumable } from './isResumable.js'
+import type { StoredVersions } from './storedVersions.js'
 import type { StreamVersion } from './streamVersion.js'
 
 /** What a starting router learns from a peer about the streams that callers may resume. */
@@ -49,6 +50,10 @@
   takeUpdates(): StreamVersion[]
   /** Adds streams of peers. */
   merge(streams: readonly StreamVersion[]): void
+  /** Returns every version at which a stream of a service may have begun that callers may still resume; undefined if there may be unknown ones. */
+  recentVersions(service: string): string[] | undefined
+  /** Adds what the log says of the versions of a service. */
+  mergeStored(service: string, stored: StoredVersions, isCurrent: boolean): void
   state(): ResumableStreamsState
   applyState(state: ResumableStreamsState): void
 }
@@ -109,6 +114,13 @@
     merge(streams) {
       versions.merge(streams, now())
     },
+    recentVersions(service) {
+      observeTargets()
+      return history.recentVersions(service, now())
+    },
+    mergeStored(service, { versions: stored }, isCurrent) {
+      history.mergeStored(service, stored, isCurrent, now())
+    },
     state() {
       observeTargets()
       return { streams: versions.all(now()), history: history.state(now()) }
--- a/packages/router/src/node/streams/createVersionHistory.ts
+++ b/packages/router/src/node/streams/createVersionHistory.ts
@@ -26,6 +26,18 @@
   observe(targets: Iterable<Target>, nowMs: number): void
   /** Adds the history of a peer. */
   merge(state: VersionHistoryState, nowMs: number): void
+  /**
+   * Adds versions that a service had at most a stream's lifetime before the fleet stopped.
+   * @param isComplete Whether it had no others.
+   */
+  mergeStored(
+    service: string,
+    versions: readonly string[],
+    isComplete: boolean,
+    nowMs: number,
+  ): void
+  /** Returns every version that a service had within the lifetime of a stream; undefined if there may be unknown ones. */
+  recentVersions(service: string, nowMs: number): string[] | undefined
   /** Returns the milliseconds since a version of a service was first seen; 0 if it was not. */
   ageMs(service: string, softwareVersion: string, nowMs: number): number
   /** Returns the only version that a service had within the lifetime of a stream; undefined if there were others or they are unknown. */
@@ -39,8 +51,23 @@
  */
 export function createVersionHistory(lifetimeMs: () => number): VersionHistory {
   const listed = new Map<string, Map<string, ListedSpan>>()
+  /** Services whose versions before the start of the router are known. */
+  const completeServices = new Set<string>()
   let coveredSinceMs = Infinity
 
+  function recentVersions(
+    service: string,
+    nowMs: number,
+  ): string[] | undefined {
+    const sinceMs = nowMs - lifetimeMs()
+    if (coveredSinceMs > sinceMs && !completeServices.has(service))
+      return undefined
+    const versions: string[] = []
+    for (const [version, { untilMs }] of listed.get(service) ?? [])
+      if (untilMs >= sinceMs) versions.push(version)
+    return versions
+  }
+
   function record(
     service: string,
     version: string,
@@ -83,16 +110,14 @@
       const span = listed.get(service)?.get(softwareVersion)
       return span ? nowMs - span.sinceMs : 0
     },
+    mergeStored(service, versions, isComplete, nowMs) {
+      if (isComplete) completeServices.add(service)
+      for (const version of versions) record(service, version, nowMs, nowMs)
+    },
+    recentVersions,
     soleVersion(service, nowMs) {
-      const sinceMs = nowMs - lifetimeMs()
-      if (coveredSinceMs > sinceMs) return undefined
-      let sole: string | undefined
-      for (const [version, { untilMs }] of listed.get(service) ?? []) {
-        if (untilMs < sinceMs) continue
-        if (sole !== undefined) return undefined
-        sole = version
-      }
-      return sole
+      const [version, ...others] = recentVersions(service, nowMs) ?? []
+      return others.length === 0 ? version : undefined
     },
     state(nowMs) {
       const versions: ListedVersion[] = []
