Report crashes wherever a target breaks off its response

Cause: a crash was reported only if the stream ended before its second event.

Change: every broken response of a target is reported, and confirmed as before; responses that break off together share one confirmation. A crash that a refused request explains is not counted for the prompt parts of the requests beside it. Counting the crashes again takes at most 5% of the time.

--- a/packages/router/src/node/callers/createFailureHandler.ts
+++ b/packages/router/src/node/callers/createFailureHandler.ts
@@ -15,7 +15,7 @@
 } from '../targets/targetFailure.js'
 import type { Call } from './call.js'
 import { type CallProgress, canRetry } from './callProgress.js'
-import type { CrashReporter } from './createCrashReporter.js'
+import { BreakPoint, type CrashReporter } from './createCrashReporter.js'
 import { loggedPartIds } from './loggedPartIds.js'
 import { NextStep } from './nextStep.js'
 
@@ -68,7 +68,7 @@
     if (failure.verdict !== Verdict.NotRun) {
       progress.possibleRuns += 1
       if (failure.cause === TargetFailureCause.Broken)
-        options.reportCrash(call, target, progress)
+        options.reportCrash(call, target, progress, BreakPoint.Start)
     }
     log.write(LogEvent.RequestSent, {
       request: call.request.attemptId,
--- a/packages/router/src/node/callers/createResponseHandler.ts
+++ b/packages/router/src/node/callers/createResponseHandler.ts
@@ -118,8 +118,8 @@
     if (relayOutcome === RelayOutcome.Complete && isSuccess)
       harmfulTraits.recordAnswered(progress.traits)
     if (relayOutcome !== RelayOutcome.Broken) return NextStep.Done
-    if (isAccepted && isSuccess && progress.relay.endedAtStart)
-      reportCrash(call, target, progress)
+    if (isAccepted && isSuccess)
+      reportCrash(call, target, progress, progress.relay.breakPoint)
     return handleBroken(call, target, progress, response)
   }
 }
--- a/packages/router/src/node/callers/createResponseRelay.ts
+++ b/packages/router/src/node/callers/createResponseRelay.ts
@@ -5,6 +5,7 @@
 import type { TargetResponse } from '../targets/createTargetClient.js'
 import type { TargetProtocol } from '../targets/targetProtocol.js'
 import type { Call } from './call.js'
+import { BreakPoint } from './createCrashReporter.js'
 import { createEventSplitter } from './createEventSplitter.js'
 import { relayBody } from './relayBody.js'
 import { RelayOutcome } from './relayOutcome.js'
@@ -43,8 +44,8 @@
   accepts(response: TargetResponse): boolean
   /** Id of the last complete event that was forwarded. */
   readonly lastEventId: string | undefined
-  /** Whether the last response ended before its second event; true for one that is no stream. */
-  readonly endedAtStart: boolean
+  /** Where the last response has got to: a stream has begun with its second event. */
+  readonly breakPoint: BreakPoint
   /** Forwards a response; an interrupted stream continues after its last event. */
   forward(response: TargetResponse, onChunk: () => void): Promise<RelayOutcome>
 }
@@ -167,8 +168,10 @@
     get lastEventId() {
       return splitter.lastEventId
     },
-    get endedAtStart() {
-      return !isStream || splitter.events <= 1
+    get breakPoint() {
+      return isStream && splitter.events > 1
+        ? BreakPoint.Stream
+        : BreakPoint.Start
     },
     get canReplace() {
       if (!headersSent) return true
--- a/packages/router/src/node/crashes/createHarmfulTraits.ts
+++ b/packages/router/src/node/crashes/createHarmfulTraits.ts
@@ -24,7 +24,7 @@
 
 /** Finds the prompt parts and the requests that crash the targets which run them. */
 export interface HarmfulTraits {
-  /** Records that a target broke off as it began to run a request. */
+  /** Records that a target crashed while it ran a request. */
   recordCrash(attemptId: string, crash: TargetCrash): void
   /** Records that a request with these traits was answered completely. */
   recordAnswered(traits: readonly string[]): void
@@ -44,6 +44,8 @@
 const MAX_CRASHED = 1_000
 /** A trait answered within this time, in milliseconds, needs no report. */
 const RECENT_ANSWER_MS = 5_000
+/** Share of the time that updates may take: a target that crashes breaks off all its streams at once. */
+const MAX_UPDATE_SHARE = 0.05
 /** Traits of one request that are considered, the most specific ones. */
 const MAX_TRAITS = 32
 /** Longest trait that is considered, in characters. */
@@ -131,6 +133,7 @@
     suspects = findSuspectTraits(
       records.list(RecordKind.TargetCrash).map(decodeCrash),
       (trait) => answers.get(trait) ?? -Infinity,
+      MIN_CRASHES,
     )
     const before = harmful
     harmful = findHarmful(answers)
@@ -148,7 +151,26 @@
     }
   }
 
-  for (const kind of KINDS) records.onChange(kind, update)
+  let updateTimer: NodeJS.Timeout | undefined
+  let nextUpdateAtMs = -Infinity
+
+  /** Updates at once, or later if updates have taken more than their share of the time. */
+  function requestUpdate(): void {
+    if (updateTimer !== undefined) return
+    const startedAtMs = now()
+    if (startedAtMs < nextUpdateAtMs) {
+      updateTimer = setTimeout(() => {
+        updateTimer = undefined
+        requestUpdate()
+      }, nextUpdateAtMs - startedAtMs).unref()
+      return
+    }
+    update()
+    const tookMs = now() - startedAtMs
+    nextUpdateAtMs = startedAtMs + tookMs / MAX_UPDATE_SHARE
+  }
+
+  for (const kind of KINDS) records.onChange(kind, requestUpdate)
 
   return {
     recordCrash(attemptId, crash) {
--- a/packages/router/src/node/crashes/findSuspectTraits.ts
+++ b/packages/router/src/node/crashes/findSuspectTraits.ts
@@ -40,19 +40,13 @@
   series.lastCrashAtMs = crashedAtMs
 }
 
-/**
- * Returns the traits under which targets crashed, by crashes since each trait was last answered.
- * For a prompt part, targets that crash together, as when a rack fails, count once: their
- * requests were sent before.
- * @param answeredAtMs Returns when a trait was last answered; -Infinity if it was not.
- */
-export function findSuspectTraits(
+/** Groups crashes by trait, without those from before the trait was last answered. */
+function seriesOf(
   crashes: readonly TargetCrash[],
   answeredAtMs: (trait: string) => number,
-): Map<string, SuspectTrait> {
+): Map<string, CrashSeries> {
   const seriesByTrait = new Map<string, CrashSeries>()
-  const inOrder = crashes.toSorted((a, b) => a.crashedAtMs - b.crashedAtMs)
-  for (const crash of inOrder) {
+  for (const crash of crashes) {
     const { target, crashedAtMs, traits } = crash
     for (const trait of traits) {
       if (crashedAtMs <= answeredAtMs(trait)) continue
@@ -66,6 +60,54 @@
         })
     }
   }
+  return seriesByTrait
+}
+
+/** Returns the requests that explain the crash of each target: they have crashed `minCrashes` of them. */
+function explanationsOf(
+  seriesByTrait: ReadonlyMap<string, CrashSeries>,
+  minCrashes: number,
+): Map<string, Set<string>> {
+  const explanations = new Map<string, Set<string>>()
+  for (const [trait, { traitsByTarget }] of seriesByTrait) {
+    if (!isRequestTrait(trait) || traitsByTarget.size < minCrashes) continue
+    for (const target of traitsByTarget.keys()) {
+      const traits = explanations.get(target) ?? new Set<string>()
+      explanations.set(target, traits.add(trait))
+    }
+  }
+  return explanations
+}
+
+/**
+ * Returns the traits under which targets crashed, by crashes since each trait was last answered.
+ * For a prompt part, targets that crash together, as when a rack fails, count once: their
+ * requests were sent before. Nor do crashes count for it that a request explains which the
+ * target ran beside those with the part.
+ * @param answeredAtMs Returns when a trait was last answered; -Infinity if it was not.
+ * @param minCrashes Crashes from which a request explains them.
+ */
+export function findSuspectTraits(
+  crashes: readonly TargetCrash[],
+  answeredAtMs: (trait: string) => number,
+  minCrashes: number,
+): Map<string, SuspectTrait> {
+  const inOrder = crashes.toSorted((a, b) => a.crashedAtMs - b.crashedAtMs)
+  const seriesByTrait = seriesOf(inOrder, answeredAtMs)
+  const explanations = explanationsOf(seriesByTrait, minCrashes)
+  if (explanations.size > 0) {
+    const unexplained = inOrder.filter(({ target, traits }) => {
+      const requests = explanations.get(target)
+      return !requests || traits.some((trait) => requests.has(trait))
+    })
+    const remaining = seriesOf(unexplained, answeredAtMs)
+    for (const trait of seriesByTrait.keys()) {
+      if (isRequestTrait(trait)) continue
+      const series = remaining.get(trait)
+      if (series) seriesByTrait.set(trait, series)
+      else seriesByTrait.delete(trait)
+    }
+  }
   const suspects = new Map<string, SuspectTrait>()
   for (const [trait, series] of seriesByTrait)
     suspects.set(trait, {
--- a/packages/router/src/node/crashes/targetCrash.ts
+++ b/packages/router/src/node/crashes/targetCrash.ts
@@ -1,6 +1,6 @@
 import type { SharedRecord } from '../peers/sharedRecord.js'
 
-/** A target that broke off as it began to run a request. */
+/** A target that crashed while it ran a request. */
 export interface TargetCrash {
   /** Incarnation of the target. */
   readonly target: string
--- a/packages/router/src/node/peers/sharedRecord.ts
+++ b/packages/router/src/node/peers/sharedRecord.ts
@@ -1,6 +1,6 @@
 /** Kinds of facts that one router observes and that bind every router of the fleet. */
 export enum RecordKind {
-  /** A target broke off as it began to answer; key: attempt and target, value: target, milliseconds since the send, traits of the request. */
+  /** A target crashed while it ran a request; key: attempt and target, value: target, milliseconds since the send, traits of the request. */
   TargetCrash = 'crash',
   /** A request with a trait was answered completely; key: trait. */
   TraitAnswered = 'answered',
