Take the limits of a process from the settings

Cause: a router read its descriptors from /proc/self/limits. On the platform that names 200, whatever the VM bears, so a router of a VM with 4,200 descriptors took 75 connections and 50 requests.

Change: the settings state the descriptors and the memory of the VM; the operating system is asked only where they don't.

--- a/packages/router/src/node/connections/__tests__/connectionBoundsOf.test.ts
+++ b/packages/router/src/node/connections/__tests__/connectionBoundsOf.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { connectionBoundsOf, ServerKind } from '../connectionBoundsOf.js'
-import { parseDescriptors } from '../readProcessLimits.js'
+import { parseDescriptors, readProcessLimits } from '../readProcessLimits.js'
 
 const MIB = 1024 * 1024
 /** The smallest VM, with the heap of the deploy file. */
@@ -38,3 +38,13 @@
     assert.equal(parseDescriptors(line('unlimited')), undefined)
   })
 })
+
+describe('readProcessLimits', () => {
+  // Guards against bounds of 75 connections on a VM that bears 4,200 descriptors (review/6, days of corrib-ice).
+  it('takes what the settings state of the VM, whatever the machine of the process allows', () => {
+    const limits = readProcessLimits({ descriptors: 4_200, memoryMb: 350 })
+    assert.equal(limits.descriptors, 4_200)
+    assert.equal(limits.memoryBytes, 350 * MIB)
+    assert.ok(readProcessLimits({}).descriptors > 0)
+  })
+})
--- a/packages/router/src/node/connections/readProcessLimits.ts
+++ b/packages/router/src/node/connections/readProcessLimits.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from 'node:fs'
 import { totalmem } from 'node:os'
 import { getHeapStatistics } from 'node:v8'
+import type { RouterSettings } from '../settings/settingsSchema.js'
 
 /** What the operating system and the runtime allow this process. */
 export interface ProcessLimits {
@@ -11,6 +12,10 @@
   readonly heapBytes: number
 }
 
+/** Limits that the settings state. */
+export type StatedLimits = RouterSettings['limits']
+
+const BYTES_PER_MIB = 1024 * 1024
 /** Descriptors of a process whose limit cannot be read. */
 const DEFAULT_DESCRIPTORS = 4_096
 const LIMITS_FILE = '/proc/self/limits'
@@ -31,11 +36,15 @@
   }
 }
 
-/** Reads the limits of this process. */
-export function readProcessLimits(): ProcessLimits {
+/**
+ * Returns the limits of this process.
+ * @param stated Limits of the VM, which the operating system need not know.
+ */
+export function readProcessLimits(stated: StatedLimits): ProcessLimits {
+  const { descriptors, memoryMb } = stated
   return {
-    descriptors: readDescriptors(),
-    memoryBytes: totalmem(),
+    descriptors: descriptors ?? readDescriptors(),
+    memoryBytes: memoryMb === undefined ? totalmem() : memoryMb * BYTES_PER_MIB,
     heapBytes: getHeapStatistics().heap_size_limit,
   }
 }
--- a/packages/router/src/node/settings/settingsSchema.ts
+++ b/packages/router/src/node/settings/settingsSchema.ts
@@ -40,6 +40,16 @@
    * @default false
    */
   overloadControl: v.optional(v.boolean(), false),
+  /** Limits of the VM on this process; read from the operating system if absent. */
+  limits: v.optional(
+    v.object({
+      /** Open files, sockets included. */
+      descriptors: v.exactOptional(positive),
+      /** Memory in MiB. */
+      memoryMb: v.exactOptional(v.pipe(v.number(), v.minValue(1))),
+    }),
+    {},
+  ),
   /** Bounds on what callers make the router hold; derived from the limits of the process if absent. */
   callers: v.exactOptional(
     v.partial(
