Refuse new requests rather than close connections whose requests are at targets

Cause: above the bound on requests, the connection with most of them was closed, the latest of equals. In a burst of ordinary clients each connection has one request, and a target works on it.

Change: at a bound, requests that wait behind others of their connection are dropped first, then a new request is refused at once as not run (503 router-busy). For want of memory only connections without a request at a target are closed. A connection runs one request at a time while three quarters of the requests are in use. Bytes are counted before they are buffered. The servers for peers, readiness and metrics go by the same rule; a relayed request that is refused goes to another peer.

Tests: the check that the connection with most requests is closed, not that of a small caller, asked for the fault. It is replaced by one that what waits on the large connection gives way and the small caller is served; two more hold that no connection with a request at a target is closed, for requests and for memory.

--- a/packages/core/src/node/verdict/failureCode.ts
+++ b/packages/core/src/node/verdict/failureCode.ts
@@ -8,6 +8,7 @@
   BodyTooLarge = 'body-too-large',
   NoTarget = 'no-target',
   Overloaded = 'overloaded',
+  RouterBusy = 'router-busy',
   UnknownStream = 'unknown-stream',
   HarmfulPrompt = 'harmful-prompt',
   HarmfulRequest = 'harmful-request',
--- a/packages/daemon/src/node/callers/createFailure.ts
+++ b/packages/daemon/src/node/callers/createFailure.ts
@@ -9,6 +9,7 @@
   [FailureCode.BodyTooLarge]: 413,
   [FailureCode.NoTarget]: 503,
   [FailureCode.Overloaded]: 503,
+  [FailureCode.RouterBusy]: 503,
   [FailureCode.UnknownStream]: 503,
   [FailureCode.HarmfulPrompt]: 503,
   [FailureCode.HarmfulRequest]: 503,
--- a/packages/router/src/node/callers/createCallerServer.ts
+++ b/packages/router/src/node/callers/createCallerServer.ts
@@ -54,14 +54,19 @@
         server.keepAliveTimeout = active.idleTimeoutMs + KEEP_ALIVE_MARGIN_MS
         server.headersTimeout = active.headerTimeoutMs
       }
-      limits.submit(res, (waitedMs) => {
-        handler.handle(req, res, {
-          waitedMs,
-          onBuffered: (bytes) => {
-            limits.addBytes(res, bytes)
-          },
-        })
-      })
+      limits.submit(
+        res,
+        (waitedMs) => {
+          handler.handle(req, res, {
+            waitedMs,
+            tryBuffer: (bytes) => limits.tryAddBytes(res, bytes),
+            onWork: () => limits.beginWork(res),
+          })
+        },
+        () => {
+          handler.refuse(req, res)
+        },
+      )
     },
   )
   const limits = limitConnections(server, limitsOptions)
--- a/packages/router/src/node/callers/createPeerSender.ts
+++ b/packages/router/src/node/callers/createPeerSender.ts
@@ -41,7 +41,11 @@
 }
 
 /** Failures of a peer after which another one may serve the call. */
-const OTHER_PEER_CODES = new Set([FailureCode.Starting, FailureCode.Stopping])
+const OTHER_PEER_CODES = new Set([
+  FailureCode.RouterBusy,
+  FailureCode.Starting,
+  FailureCode.Stopping,
+])
 
 /** Creates a sender. */
 export function createPeerSender(options: PeerSenderOptions): PeerSender {
--- a/packages/router/src/node/callers/failures.ts
+++ b/packages/router/src/node/callers/failures.ts
@@ -64,6 +64,12 @@
     'the memory of this router for bodies is in use; try again at another',
     OTHER_ROUTER_RETRY_AFTER_S,
   ),
+  tooManyRequests: createNotRunFailure(
+    FailureCode.RouterBusy,
+    503,
+    'this router has as many requests as it can serve; try again at another',
+    OTHER_ROUTER_RETRY_AFTER_S,
+  ),
   noTarget: createNotRunFailure(
     FailureCode.NoTarget,
     503,
--- a/packages/router/src/node/callers/requestArrival.ts
+++ b/packages/router/src/node/callers/requestArrival.ts
@@ -7,27 +7,28 @@
   readonly relayed?: RelayedRequest
   /** Milliseconds for which it has waited since it was read. */
   readonly waitedMs?: number
-  /** Called with bytes that are buffered for it, or released if negative. */
-  readonly onBuffered?: (bytes: number) => void
+  /** Counts bytes that are buffered for it, or released if negative; returns whether there is room for them. */
+  readonly tryBuffer?: (bytes: number) => boolean
+  /** Called when it goes to a target; what is returned is called when no target works on it any more. */
+  readonly onWork?: () => { end(): void }
 }
 
 /** Returns a lease that reports what is buffered. */
 export function reportedLease(
   lease: BufferLease,
-  { onBuffered }: RequestArrival,
+  { tryBuffer }: RequestArrival,
 ): BufferLease {
-  if (!onBuffered) return lease
+  if (!tryBuffer) return lease
   let held = 0
   return {
     tryGrow(bytes) {
-      if (!lease.tryGrow(bytes)) return false
+      if (!lease.tryGrow(bytes) || !tryBuffer(bytes)) return false
       held += bytes
-      onBuffered(bytes)
       return true
     },
     end() {
       lease.end()
-      onBuffered(-held)
+      tryBuffer(-held)
       held = 0
     },
   }
--- a/packages/router/src/node/connections/createCloseReporter.ts
+++ b/packages/router/src/node/connections/createCloseReporter.ts
@@ -2,7 +2,7 @@
 import { LogEvent } from '../logging/logEvent.js'
 import type { RouterMetrics } from '../metrics/routerMetrics.js'
 import type { ServerKind } from './connectionBoundsOf.js'
-import type { CloseReason } from './createConnectionBudget.js'
+import type { CloseReason } from './closeReason.js'
 
 /** Interval between two log lines with the same server and reason, in milliseconds. */
 const LINE_INTERVAL_MS = 1_000
--- a/packages/router/src/node/connections/createConnectionBudget.ts
+++ b/packages/router/src/node/connections/createConnectionBudget.ts
@@ -1,18 +1,4 @@
-/** Why a connection is closed. */
-export enum CloseReason {
-  /** There are as many connections as the process has descriptors for. */
-  Connections = 'connections',
-  /** There are too many requests without a response; this connection has most of them. */
-  Requests = 'requests',
-  /** Requests and responses use too much memory; this connection uses most of it. */
-  Memory = 'memory',
-  /** Heads that have not ended use too much memory; that of this connection uses most of it. */
-  Heads = 'heads',
-  /** It has sent too many requests ahead. */
-  RequestsAhead = 'requests-ahead',
-  /** Its client does not read the response. */
-  Unread = 'unread',
-}
+import { CloseReason } from './closeReason.js'
 
 /** What the connections of a server may use together. */
 export interface ConnectionBounds {
@@ -28,10 +14,16 @@
 /** Use of a budget by one connection; nothing counts after its end. */
 export interface BudgetedConnection {
   readonly requests: number
-  beginRequest(): void
+  /** Counts a new request; returns whether there is room for it. */
+  beginRequest(): boolean
   endRequest(): void
-  /** Counts bytes that were buffered, or released if negative. */
-  addBytes(bytes: number): void
+  /** Sets the number of requests that wait for earlier ones of the connection. */
+  setWaiting(count: number): void
+  /** Counts a request that is at a target: the connection stays until it ends. */
+  beginWork(): void
+  endWork(): void
+  /** Counts `bytes` more, or fewer if negative; returns whether there is room for them. */
+  tryAddBytes(bytes: number): boolean
   /** Replaces the bytes of a head that has not ended. */
   setHeadBytes(bytes: number): void
   end(): void
@@ -42,40 +34,57 @@
   readonly connections: number
   readonly requests: number
   readonly bytes: number
-  /**
-   * Counts a new connection.
-   * @param close Closes the connection; its use has been taken back before.
-   */
-  open(close: (reason: CloseReason) => void): BudgetedConnection
+  /** Whether there is room for several requests of one connection at once. */
+  readonly hasRoomAhead: boolean
+  /** Counts a new connection. */
+  open(actions: ConnectionActions): BudgetedConnection
+}
+
+/** What a budget does to a connection. */
+export interface ConnectionActions {
+  /** Closes the connection; its use has been taken back before. */
+  readonly close: (reason: CloseReason) => void
+  /** Drops the requests that wait; they are never run, and the connection ends after the others. */
+  readonly dropWaiting: () => void
 }
 
 /** Memory of a request beside its body, in bytes: message objects, headers, timers and the send to a target. */
 export const REQUEST_BYTES = 16 * 1024
 
+/** Part of the requests beyond which a connection runs one at a time, so that others find room. */
+const AHEAD_PART = 3 / 4
+
 interface Holder {
   requests: number
+  waiting: number
+  /** Requests that are at targets. */
+  working: number
   bytes: number
   headBytes: number
+  /** Whether it takes no more requests. */
+  isEnding: boolean
   ended: boolean
-  readonly close: (reason: CloseReason) => void
+  readonly actions: ConnectionActions
 }
 
-/** Returns the holder that uses most, the latest of equals. */
+/** Returns the holder that uses most, the latest of equals; undefined if none uses anything. */
 function findLargest(
   holders: Iterable<Holder>,
   useOf: (holder: Holder) => number,
 ): Holder | undefined {
   let largest: Holder | undefined
-  for (const holder of holders)
+  for (const holder of holders) {
+    if (useOf(holder) === 0) continue
     if (!largest || useOf(holder) >= useOf(largest)) largest = holder
+  }
   return largest
 }
 
 /**
  * Creates a budget without connections. Answers crowds of clients that send many
- * requests ahead, read no responses or only connect: when a bound is exceeded, the
- * connection that uses most gives way, so that a small caller is not turned away
- * for the use of a large one.
+ * requests ahead, read no responses or only connect: at a bound, requests that wait
+ * behind others of their connection give way first, and connections that use most while
+ * no target works for them. A request at a target never does: a new one is refused.
  */
 export function createConnectionBudget(
   bounds: ConnectionBounds,
@@ -110,10 +119,11 @@
     idle.delete(holder)
   }
 
-  function evict(holder: Holder | undefined, reason: CloseReason): void {
-    if (!holder) return
+  function evict(holder: Holder | undefined, reason: CloseReason): boolean {
+    if (!holder) return false
     end(holder)
-    holder.close(reason)
+    holder.actions.close(reason)
+    return true
   }
 
   function first(waiting: ReadonlySet<Holder>): Holder | undefined {
@@ -121,22 +131,37 @@
     return undefined
   }
 
-  function keepWithinBounds(): void {
-    while (requests > bounds.maxRequests)
-      evict(
-        findLargest(holders, (holder) => holder.requests),
-        CloseReason.Requests,
-      )
-    while (bytes > bounds.maxBytes)
-      evict(
-        findLargest(holders, (holder) => holder.bytes),
-        CloseReason.Memory,
-      )
-    while (headBytes > bounds.maxHeadBytes)
-      evict(
-        findLargest(holders, (holder) => holder.headBytes),
-        CloseReason.Heads,
-      )
+  /** Drops what waits on the connection with most of it; returns whether there was any. */
+  function dropWaiting(): boolean {
+    const holder = findLargest(holders, ({ waiting }) => waiting)
+    if (!holder) return false
+    const { waiting } = holder
+    holder.waiting = 0
+    holder.isEnding = true
+    take(holder, -waiting, -waiting * REQUEST_BYTES)
+    holder.actions.dropWaiting()
+    return true
+  }
+
+  function evictForMemory(): boolean {
+    const largest = findLargest(holders, ({ working, bytes: held }) =>
+      working > 0 ? 0 : held,
+    )
+    return evict(largest, CloseReason.Memory)
+  }
+
+  /** Makes room for requests and bytes; returns whether there is. */
+  function makeRoom(newRequests: number, newBytes: number): boolean {
+    while (requests + newRequests > bounds.maxRequests)
+      if (!dropWaiting()) return false
+    while (bytes + newBytes > bounds.maxBytes)
+      if (!dropWaiting() && !evictForMemory()) return false
+    return true
+  }
+
+  /** Whether a connection takes requests; making room may end any one. */
+  function isOpen(holder: Holder): boolean {
+    return holders.has(holder) && !holder.isEnding
   }
 
   return {
@@ -149,13 +174,19 @@
     get bytes() {
       return bytes
     },
-    open(close) {
+    get hasRoomAhead() {
+      return requests < AHEAD_PART * bounds.maxRequests
+    },
+    open(actions) {
       const holder: Holder = {
         requests: 0,
+        waiting: 0,
+        working: 0,
         bytes: 0,
         headBytes: 0,
+        isEnding: false,
         ended: false,
-        close,
+        actions,
       }
       // A connection that has not sent a request for longest is worth least.
       if (holders.size >= bounds.maxConnections)
@@ -169,27 +200,45 @@
           return holder.requests
         },
         beginRequest() {
-          if (holder.ended) return
+          if (holder.ended) return false
           withoutRequest.delete(holder)
           idle.delete(holder)
-          take(holder, 1, REQUEST_BYTES)
           setHeadBytes(holder, 0)
-          keepWithinBounds()
+          const hasRoom = makeRoom(1, REQUEST_BYTES) && isOpen(holder)
+          if (hasRoom) take(holder, 1, REQUEST_BYTES)
+          else if (holder.requests === 0 && holders.has(holder))
+            idle.add(holder)
+          return hasRoom
         },
         endRequest() {
           if (holder.ended || holder.requests === 0) return
           take(holder, -1, -REQUEST_BYTES)
           if (holder.requests === 0) idle.add(holder)
         },
-        addBytes(change) {
-          if (holder.ended) return
+        setWaiting(count) {
+          holder.waiting = count
+        },
+        beginWork() {
+          holder.working += 1
+        },
+        endWork() {
+          holder.working -= 1
+        },
+        tryAddBytes(change) {
+          if (holder.ended) return false
+          if (change > 0 && !(makeRoom(0, change) && holders.has(holder)))
+            return false
           take(holder, 0, change)
-          keepWithinBounds()
+          return true
         },
         setHeadBytes(newBytes) {
           if (holder.ended) return
           setHeadBytes(holder, newBytes)
-          keepWithinBounds()
+          while (headBytes > bounds.maxHeadBytes)
+            evict(
+              findLargest(holders, ({ headBytes: held }) => held),
+              CloseReason.Heads,
+            )
         },
         end() {
           end(holder)
--- a/packages/router/src/node/connections/createRequestGate.ts
+++ b/packages/router/src/node/connections/createRequestGate.ts
@@ -7,8 +7,10 @@
 
 /** Options for {@link createRequestGate}. */
 export interface RequestGateOptions {
-  /** Called when requests begin to wait, and when none waits any more. */
-  readonly onWaiting: (isWaiting: boolean) => void
+  /** Whether another request of the connection may run beside its first one. */
+  readonly hasRoomAhead: () => boolean
+  /** Called when the number of requests that wait changes. */
+  readonly onWaiting: (count: number) => void
   /** Called once when the connection has sent too many requests ahead; it takes no more. */
   readonly onExceeded: () => void
   /** Monotonic clock, in milliseconds. */
@@ -19,6 +21,12 @@
 export interface RequestGate {
   /** Runs a request once there is room for it; it gets the milliseconds for which it has waited. */
   submit(res: ServerResponse, run: (waitedMs: number) => void): void
+  /** Whether a request runs. */
+  readonly isBusy: boolean
+  /** Takes no more requests; the connection ends after the last one that was taken. */
+  exceed(): void
+  /** Drops the requests that wait and takes no more; returns their responses. */
+  dropWaiting(): ServerResponse[]
   /** Ends the requests of a connection that was closed. */
   close(): void
 }
@@ -41,6 +49,11 @@
   let isExceeded = false
   let isClosed = false
 
+  function mayStart(): boolean {
+    if (underWay.size === 0) return true
+    return underWay.size < MAX_UNDER_WAY && options.hasRoomAhead()
+  }
+
   function start({ res, run, receivedAtMs }: Waiting): void {
     underWay.add(res)
     // The request's own listeners run first, so that its end is counted before the next begins.
@@ -53,32 +66,50 @@
 
   function startNext(): void {
     if (isClosed || waiting.length === 0) return
-    while (underWay.size < MAX_UNDER_WAY) {
+    const count = waiting.length
+    while (mayStart()) {
       const next = waiting.shift()
       if (!next) break
       start(next)
     }
-    if (waiting.length === 0) options.onWaiting(false)
+    if (waiting.length !== count) options.onWaiting(waiting.length)
+  }
+
+  function exceed(): void {
+    if (isExceeded) return
+    isExceeded = true
+    // The connection ends with the last request that was taken.
+    if (last) last.shouldKeepAlive = false
+    options.onExceeded()
   }
 
   return {
     submit(res, run) {
       if (isExceeded || isClosed) return
       if (underWay.size + waiting.length >= MAX_UNANSWERED) {
-        isExceeded = true
-        // The connection ends with the last request that was taken.
-        if (last) last.shouldKeepAlive = false
-        options.onExceeded()
+        exceed()
         return
       }
       last = res
       const request = { res, run, receivedAtMs: now() }
-      if (underWay.size < MAX_UNDER_WAY) {
+      if (waiting.length === 0 && mayStart()) {
         start(request)
         return
       }
       waiting.push(request)
-      if (waiting.length === 1) options.onWaiting(true)
+      options.onWaiting(waiting.length)
+    },
+    get isBusy() {
+      return underWay.size > 0
+    },
+    exceed,
+    dropWaiting() {
+      const dropped = waiting.map(({ res }) => res)
+      waiting = []
+      for (const res of underWay) last = res
+      exceed()
+      options.onWaiting(0)
+      return dropped
     },
     close() {
       if (isClosed) return
--- a/packages/router/src/node/connections/limitConnections.ts
+++ b/packages/router/src/node/connections/limitConnections.ts
@@ -4,10 +4,10 @@
 import { stopParsing } from '@auburnbay/http-utils/stopParsing'
 import {
   type BudgetedConnection,
-  CloseReason,
   type ConnectionBounds,
   createConnectionBudget,
 } from './createConnectionBudget.js'
+import { CloseReason } from './closeReason.js'
 import { createRequestGate, type RequestGate } from './createRequestGate.js'
 
 /** Interval of checks of connections whose client does not read, in milliseconds. */
@@ -19,6 +19,9 @@
 /** Interval in which a connection is read while requests wait, in milliseconds: shows that its client has left. */
 const WAITING_READ_MS = 250
 
+/** Status of a response to a request for which there is no room. */
+const NO_ROOM_STATUS = 503
+
 /** Options for {@link limitConnections}. */
 export interface ConnectionLimitsOptions {
   readonly bounds: ConnectionBounds
@@ -38,10 +41,19 @@
 /** Bounds what the clients of a server make it hold. */
 export interface ConnectionLimits {
   readonly use: ConnectionUse
-  /** Runs a request once its connection has room for it; it gets the milliseconds for which it has waited. */
-  submit(res: ServerResponse, run: (waitedMs: number) => void): void
-  /** Counts bytes that are buffered for the request of a response, or released if negative. */
-  addBytes(res: ServerResponse, bytes: number): void
+  /**
+   * Runs a request once its connection has room for it; it gets the milliseconds for which it has waited.
+   * @param refuse Responds that the server has no room for the request, which is not run.
+   */
+  submit(
+    res: ServerResponse,
+    run: (waitedMs: number) => void,
+    refuse?: () => void,
+  ): void
+  /** Counts `bytes` more for the request of a response, or fewer if negative; returns whether there is room for them. */
+  tryAddBytes(res: ServerResponse, bytes: number): boolean
+  /** Counts the request of a response as one that a target works on, until `end` is called. */
+  beginWork(res: ServerResponse): { end(): void }
   stop(): void
 }
 
@@ -49,6 +61,8 @@
   readonly socket: Socket
   readonly budgeted: BudgetedConnection
   readonly gate: RequestGate
+  /** Responses of the requests that the budget counts. */
+  readonly counted: Set<ServerResponse>
   /** Bytes that were sent at the last check. */
   sentBytes: number
   progressAtMs: number
@@ -60,6 +74,11 @@
   return socket.bytesWritten - socket.writableLength
 }
 
+function refusePlainly(res: ServerResponse): void {
+  res.writeHead(NO_ROOM_STATUS, { 'Content-Length': 0, Connection: 'close' })
+  res.end()
+}
+
 /** Starts to limit the connections of a server; call it before the server listens. */
 export function limitConnections(
   server: Server,
@@ -80,7 +99,10 @@
   function readSlowly(socket: Socket): (isWaiting: boolean) => void {
     const control = readControlOf(socket)
     let timer: NodeJS.Timeout | undefined
+    let wasWaiting = false
     return (isWaiting) => {
+      if (isWaiting === wasWaiting) return
+      wasWaiting = isWaiting
       clearInterval(timer)
       control.release(HoldReason.RequestsWaiting)
       if (!isWaiting) return
@@ -99,9 +121,14 @@
   }
 
   server.on('connection', (socket: Socket) => {
-    const onWaiting = readSlowly(socket)
+    const read = readSlowly(socket)
+    const counted = new Set<ServerResponse>()
     const gate = createRequestGate({
-      onWaiting,
+      hasRoomAhead: () => budget.hasRoomAhead,
+      onWaiting: (count) => {
+        read(count > 0)
+        budgeted.setWaiting(count)
+      },
       onExceeded: () => {
         stopParsing(socket)
         readControlOf(socket).hold(HoldReason.RequestsAhead)
@@ -109,19 +136,25 @@
       },
       now,
     })
-    const budgeted = budget.open((reason) => {
-      close(socket, reason)
+    const budgeted: BudgetedConnection = budget.open({
+      close: (reason) => {
+        close(socket, reason)
+      },
+      dropWaiting: () => {
+        for (const res of gate.dropWaiting()) counted.delete(res)
+      },
     })
     connections.set(socket, {
       socket,
       budgeted,
       gate,
+      counted,
       sentBytes: 0,
       progressAtMs: now(),
       headStartBytes: 0,
     })
     socket.once('close', () => {
-      onWaiting(false)
+      read(false)
       gate.close()
       budgeted.end()
       connections.delete(socket)
@@ -132,10 +165,10 @@
   server.prependListener('request', (req, res) => {
     const connection = connections.get(req.socket)
     if (!connection) return
-    const { budgeted, socket } = connection
-    budgeted.beginRequest()
+    const { budgeted, counted, socket } = connection
+    if (budgeted.beginRequest()) counted.add(res)
     res.once('close', () => {
-      budgeted.endRequest()
+      if (counted.delete(res)) budgeted.endRequest()
       connection.headStartBytes = socket.bytesRead
     })
   })
@@ -168,14 +201,22 @@
 
   return {
     use: budget,
-    submit(res, run) {
+    submit(res, run, refuse) {
       const connection = connectionOf(res)
       // The connection may have been closed before, or as the one that uses most.
       if (!connection || connection.socket.destroyed) return
-      connection.gate.submit(res, run)
+      const { counted, gate } = connection
+      if (counted.has(res)) gate.submit(res, run)
+      else if (gate.isBusy) gate.exceed()
+      else if (refuse) refuse()
+      else refusePlainly(res)
     },
-    addBytes(res, bytes) {
-      connectionOf(res)?.budgeted.addBytes(bytes)
+    tryAddBytes: (res, bytes) =>
+      connectionOf(res)?.budgeted.tryAddBytes(bytes) ?? false,
+    beginWork(res) {
+      const budgeted = connectionOf(res)?.budgeted
+      budgeted?.beginWork()
+      return { end: () => budgeted?.endWork() }
     },
     stop() {
       for (const check of checks) clearInterval(check)
--- a/packages/router/src/node/metrics/createMetricsServer.ts
+++ b/packages/router/src/node/metrics/createMetricsServer.ts
@@ -21,13 +21,15 @@
   explain: Explainer,
 ): Promise<MetricsServer> {
   const server = createServer((req, res) => {
-    if (req.url === EXPLAIN_PATH) {
-      void handleExplain(req, res, explain)
-      return
-    }
-    void metrics.render().then((text) => {
-      res.writeHead(200, { 'Content-Type': 'text/plain; version=0.0.4' })
-      res.end(text)
+    limits.submit(res, () => {
+      if (req.url === EXPLAIN_PATH) {
+        void handleExplain(req, res, explain)
+        return
+      }
+      void metrics.render().then((text) => {
+        res.writeHead(200, { 'Content-Type': 'text/plain; version=0.0.4' })
+        res.end(text)
+      })
     })
   })
   const limits = limitConnections(server, limitsOptions)
--- a/packages/router/src/node/peers/createPeerStateServer.ts
+++ b/packages/router/src/node/peers/createPeerStateServer.ts
@@ -1,10 +1,16 @@
-import { createServer } from 'node:http'
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http'
 import { listen } from '@auburnbay/http-utils/listen'
 import { sendJson } from '@auburnbay/http-utils/sendJson'
 import {
   type ConnectionLimitsOptions,
   limitConnections,
 } from '../connections/limitConnections.js'
+import { failures } from '../callers/failures.js'
+import { refuseRequest } from '../callers/refuseRequest.js'
 import type { PeerAddress } from './peerAddress.js'
 import {
   decodeRelayedRequest,
@@ -66,22 +72,35 @@
   onRelayed: RelayedRequestHandler,
   limitsOptions: ConnectionLimitsOptions,
 ): Promise<PeerStateServer> {
+  function sendState(req: IncomingMessage, res: ServerResponse): void {
+    const url = new URL(req.url ?? '/', 'http://peer')
+    if (url.pathname !== STATE_PATH) {
+      sendJson(res, 404, { error: `ask for ${STATE_PATH}` })
+      return
+    }
+    const body = encodePeerState(stateFor(parseQuery(url.searchParams)))
+    res.writeHead(200, { 'content-length': body.length })
+    res.end(body)
+  }
+
   const server = createServer(
     { maxHeaderSize: MAX_HEADER_BYTES },
     (req, res) => {
       const relayed = decodeRelayedRequest(req.headers)
-      if (relayed) {
-        onRelayed(req, res, relayed)
-        return
-      }
-      const url = new URL(req.url ?? '/', 'http://peer')
-      if (url.pathname !== STATE_PATH) {
-        sendJson(res, 404, { error: `ask for ${STATE_PATH}` })
-        return
-      }
-      const body = encodePeerState(stateFor(parseQuery(url.searchParams)))
-      res.writeHead(200, { 'content-length': body.length })
-      res.end(body)
+      const run = relayed
+        ? () => {
+            const work = limits.beginWork(res)
+            res.once('close', () => {
+              work.end()
+            })
+            onRelayed(req, res, relayed)
+          }
+        : () => {
+            sendState(req, res)
+          }
+      limits.submit(res, run, () => {
+        refuseRequest(req, res, failures.tooManyRequests, relayed !== undefined)
+      })
     },
   )
   const limits = limitConnections(server, limitsOptions)
--- a/packages/router/src/node/stopping/createReadinessServer.ts
+++ b/packages/router/src/node/stopping/createReadinessServer.ts
@@ -22,8 +22,10 @@
   limitsOptions: ConnectionLimitsOptions,
 ): Promise<ReadinessServer> {
   const server = createServer((_req, res) => {
-    res.writeHead(isReady() ? 200 : 503, { 'Content-Length': 0 })
-    res.end()
+    limits.submit(res, () => {
+      res.writeHead(isReady() ? 200 : 503, { 'Content-Length': 0 })
+      res.end()
+    })
   })
   const limits = limitConnections(server, limitsOptions)
   await listen(server, address)
