Read closes that arrived with a request while the router is behind

Cause: a router with more to do than its processor bears reads a request long after it arrived. The close that arrived meanwhile is read in the next turn of the event loop, when the request is on its way already.

Change: while timers are more than 150 ms late, a request waits for two turns of the event loop and is not sent if its caller has left.

--- a/packages/router/src/node/callers/createRequestHandler.ts
+++ b/packages/router/src/node/callers/createRequestHandler.ts
@@ -24,6 +24,7 @@
 import type { CallerRequest } from './callerRequest.js'
 import type { Dispatcher } from './createDispatcher.js'
 import { failures } from './failures.js'
+import { hasLeft } from './hasLeft.js'
 import { limitMsOf } from './limitMsOf.js'
 import { type RequestArrival, reportedLease } from './requestArrival.js'
 import { createRefusalLogger } from './createRefusalLogger.js'
@@ -50,6 +51,8 @@
   readonly sourceOutageMs: () => number
   /** Upper bound on the staleness of the target list, in milliseconds. */
   readonly targetsAgeMs: () => number
+  /** Whether what is read now may have arrived long ago. */
+  readonly isBehind: () => boolean
   /** Monotonic clock, in milliseconds. */
   readonly now: () => number
 }
@@ -124,6 +127,7 @@
       signal: aborter.signal,
       deadlineAtMs: startedAtMs + limitMs,
     }
+    if (options.isBehind() && (await hasLeft(res))) aborter.abort()
     const work = onWork?.()
     const outcome = await dispatcher.dispatch(call, res).finally(() => {
       work?.end()
@@ -158,7 +162,6 @@
   ): Promise<void> {
     const { relayed, waitedMs = 0 } = arrival
     const startedAtMs = now() - waitedMs
-
     const request = protocol.decodeRequest(req)
     const isRelayed = relayed !== undefined
     const limits = configurationStore.current?.configuration.limits
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -74,7 +74,7 @@
     log,
     now,
   })
-  const { targetList, load, cacheLocations, reachability } = routingState
+  const { targetList, cacheLocations, reachability } = routingState
   const fleetSize = createFleetSize(settings.router.id)
   const metrics = createRouterMetrics()
   const applyConfiguration = createConfigurationActivator(
@@ -123,12 +123,10 @@
     bounds: () => settings.bounds,
     incarnation,
     state,
-    load,
-    cacheLocations,
+    ...routingState,
     fleetSize,
     streams,
     records,
-    reachability,
     onRelayed: (req, res, relayed) => {
       if (handlers.current) handlers.current.handle(req, res, { relayed })
       else res.destroy()
@@ -202,6 +200,7 @@
     log,
     metrics,
     targetsAgeMs: () => targets.ageMs(),
+    isBehind: pauses.isBehind,
     sourceOutageMs: () => configurations.outageMs(),
     now,
   })
--- a/packages/router/src/node/watchPauses.ts
+++ b/packages/router/src/node/watchPauses.ts
@@ -1,6 +1,9 @@
 import { DIGEST_INTERVAL_MS, EVENT_LOOP_PAUSE_MS } from './constants.js'
 import { createPauseDetector } from './createPauseDetector.js'
 
+/** Delay of a timer, in milliseconds, above which the process is behind; callers notice less. */
+const MAX_DELAY_MS = 150
+
 /** Options for {@link watchPauses}. */
 export interface PauseWatchOptions {
   /** Called after each pause of the process or step of the time of day. */
@@ -21,6 +24,8 @@
    * a pause that has just ended: after one, responses are handled before timers.
    */
   readonly hasPausedSince: (sinceMs: number) => boolean
+  /** Whether the last turns of the event loop took so long that what is read now may be out of date. */
+  readonly isBehind: () => boolean
   stop(): void
 }
 
@@ -40,12 +45,20 @@
     onPause()
   }
 
-  const timer = setInterval(check, DIGEST_INTERVAL_MS)
+  let lastTickMs = now()
+  let isBehind = false
+  const timer = setInterval(() => {
+    const tickMs = now()
+    isBehind = tickMs - lastTickMs > DIGEST_INTERVAL_MS + MAX_DELAY_MS
+    lastTickMs = tickMs
+    check()
+  }, DIGEST_INTERVAL_MS)
   return {
     hasPausedSince(sinceMs) {
       check()
       return pausedAtMs > sinceMs
     },
+    isBehind: () => isBehind,
     stop() {
       clearInterval(timer)
     },
