Break off a response without a length that ends before its request is written

Callers could get a part of a response as a complete one: a target answers a long upload at once with a 200 without a length, ends its connection amid the body and resets it while the upload is still being written.

Cause: the end of the connection is the end of such a body; the reset that follows comes too late. A reset without an end before it was handled.

Change: if the connection ends before the request is written, the response is broken.

--- a/packages/http-utils/src/node/exchange.ts
+++ b/packages/http-utils/src/node/exchange.ts
@@ -1,5 +1,6 @@
 import {
   type Agent,
+  type ClientRequest,
   type IncomingMessage,
   type OutgoingHttpHeaders,
   request,
@@ -76,6 +77,18 @@
   return findHeaderFault(rawHeaders)
 }
 
+/**
+ * Breaks off a response without a length whose connection ends before the request is
+ * written: the end may be that of a target that failed, which a reset follows.
+ */
+function breakEarlyEnd(req: ClientRequest, res: IncomingMessage): void {
+  // Before the parser's own listener, which takes the end for that of the response.
+  res.socket.prependOnceListener('end', () => {
+    if (!req.writableFinished)
+      res.destroy(new Error('the connection ended before the request'))
+  })
+}
+
 /** Sends a request and resolves once the response headers arrive; an invalid URL is a failure like any other. */
 export function exchange(
   options: ExchangeOptions,
@@ -177,7 +190,10 @@
         fail(fault)
         return
       }
-      if (!hasLength(res)) pauseBetweenReads(res.socket)
+      if (!hasLength(res)) {
+        pauseBetweenReads(res.socket)
+        breakEarlyEnd(req, res)
+      }
       resolve(ok(res))
     })
   })
