Read closes that arrived with the first request of a connection

Logs show requests that were read 1.7 s after they were sent, while no timer was late: their connections had waited to be accepted.

Change: the first request of each connection waits for two turns of the event loop, as all do while timers are late.

Test: departedCallers.test, callers that leave before their connection is accepted; fails without the change.

--- a/packages/router/src/node/callers/createRequestHandler.ts
+++ b/packages/router/src/node/callers/createRequestHandler.ts
@@ -24,9 +24,9 @@
 import type { CallerRequest } from './callerRequest.js'
 import type { Dispatcher } from './createDispatcher.js'
 import { failures } from './failures.js'
-import { hasLeft } from './hasLeft.js'
 import { limitMsOf } from './limitMsOf.js'
 import { type RequestArrival, reportedLease } from './requestArrival.js'
+import { createDepartureCheck } from './createDepartureCheck.js'
 import { createRefusalLogger } from './createRefusalLogger.js'
 import { refuseRequest } from './refuseRequest.js'
 import { requestEndFields } from './requestEndFields.js'
@@ -85,7 +85,7 @@
   let inFlight = 0
   const aborters = new Set<AbortController>()
   const stopAdmission = createStopAdmission(now)
-
+  const hasLeft = createDepartureCheck(options.isBehind)
   const logRefused = createRefusalLogger(log, configurationStore)
 
   function refuse(
@@ -127,7 +127,7 @@
       signal: aborter.signal,
       deadlineAtMs: startedAtMs + limitMs,
     }
-    if (options.isBehind() && (await hasLeft(res))) aborter.abort()
+    if (await hasLeft(res)) aborter.abort()
     const work = onWork?.()
     const outcome = await dispatcher.dispatch(call, res).finally(() => {
       work?.end()
