Keep the streams of services with several versions in the log

Callers saw: after all routers were killed at once while a service had several software versions, each stream from before was refused (unknown-stream). The versions of the service, stored since, do not tell them apart.

Cause: which version began a stream was known to routers only.

Change: while a service has several versions, the router that writes for the fleet appends the streams that it and its peers' digests report to a topic of the log, in batches.

--- a/packages/router/src/node/routerPorts.ts
+++ b/packages/router/src/node/routerPorts.ts
@@ -6,6 +6,7 @@
 import type { StoredHarmfulTrait } from './crashes/storedHarmfulTrait.js'
 import type { KeyedSource } from './sources/keyedSource.js'
 import type { KeyedStore } from './sources/keyedStore.js'
+import type { StreamLog } from './streams/streamLog.js'
 import type { StoredVersions } from './streams/storedVersions.js'
 import type { CacheInventory } from './targets/cacheInventory.js'
 import type { ListedTarget } from './targets/target.js'
@@ -32,6 +33,8 @@
   readonly harmfulTraits: KeyedStore<StoredHarmfulTrait>
   /** Software versions by service at which streams began, which outlive all routers. */
   readonly streamVersions: KeyedStore<StoredVersions>
+  /** Streams of services with several software versions, which outlive all routers. */
+  readonly streamLog: StreamLog
   readonly cacheInventory: CacheInventory
   /** Restores of the log that holds configurations, targets and the directory. */
   readonly logRestores: LogRestores
--- a/packages/router/src/node/streams/createResumableStreams.ts
+++ b/packages/router/src/node/streams/createResumableStreams.ts
@@ -52,6 +52,10 @@
   merge(streams: readonly StreamVersion[]): void
   /** Returns every version at which a stream of a service may have begun that callers may still resume; undefined if there may be unknown ones. */
   recentVersions(service: string): string[] | undefined
+  /** Returns streams that the log lacks and that cannot be told by the versions of their service. */
+  findUnstored(): StreamVersion[]
+  /** Records that the log has streams, which may be of other routers. */
+  markStored(streams: readonly StreamVersion[]): void
   /** Adds what the log says of the versions of a service. */
   mergeStored(service: string, stored: StoredVersions, isCurrent: boolean): void
   state(): ResumableStreamsState
@@ -118,6 +122,13 @@
       observeTargets()
       return history.recentVersions(service, now())
     },
+    findUnstored() {
+      observeTargets()
+      return versions.findUnstored(now())
+    },
+    markStored(streams) {
+      versions.markStored(streams)
+    },
     mergeStored(service, { versions: stored }, isCurrent) {
       history.mergeStored(service, stored, isCurrent, now())
     },
--- a/packages/router/src/node/streams/createStreamState.ts
+++ b/packages/router/src/node/streams/createStreamState.ts
@@ -17,7 +17,10 @@
 
 /** Options for {@link createStreamState}. */
 export interface StreamStateOptions {
-  readonly ports: Pick<RouterPorts, 'streamVersions' | 'logRestores'>
+  readonly ports: Pick<
+    RouterPorts,
+    'streamVersions' | 'streamLog' | 'logRestores'
+  >
   readonly targetList: TargetList
   readonly targets: TargetsFollower
   readonly configurationStore: ConfigurationStore
@@ -49,8 +52,8 @@
     lifetimeMs: createStreamLifetime(configuration),
   })
   const storage = createVersionStorage({
+    ...ports,
     store: ports.streamVersions,
-    logRestores: ports.logRestores,
     streams,
     services: () => (targets.isLoaded() ? resumableServices() : []),
     isWriter: () => isFresh() && options.isWriter(),
--- a/packages/router/src/node/streams/createStreamVersions.ts
+++ b/packages/router/src/node/streams/createStreamVersions.ts
@@ -20,6 +20,10 @@
   find(attemptId: string, nowMs: number): string | undefined
   /** Returns this router's streams that peers need and that were not returned before. */
   takeUpdates(nowMs: number): StreamVersion[]
+  /** Returns streams that the log needs and that {@link StreamVersions.markStored} has not named, up to a limit. */
+  findUnstored(nowMs: number): StreamVersion[]
+  /** Records that the log has streams. */
+  markStored(streams: readonly StreamVersion[]): void
   /** Returns every stream. */
   all(nowMs: number): StreamVersion[]
 }
@@ -36,6 +40,9 @@
   readonly softwareVersion: string
   readonly recordedAtMs: number
   readonly isOwn: boolean
+  /** Absent if a peer reported the stream, as it does only if that is needed. */
+  readonly service?: string
+  isStored: boolean
 }
 
 interface OwnEntry extends Entry {
@@ -46,6 +53,8 @@
 const MAX_STREAMS = 20_000
 /** Streams that are reported to peers at a time. */
 const MAX_UPDATES = 500
+/** Streams that are stored at a time, at about 20 bytes each; a record of the log has 256 KiB. */
+const MAX_STORED_AT_ONCE = 5_000
 
 /** Creates an empty table. */
 export function createStreamVersions(
@@ -77,15 +86,22 @@
   return {
     record({ attemptId, service, softwareVersion }, isOwn, nowMs) {
       const key = streamKeyOf(attemptId)
-      const entry = { service, softwareVersion, isOwn, recordedAtMs: nowMs }
+      const entry = {
+        service,
+        softwareVersion,
+        isOwn,
+        recordedAtMs: nowMs,
+        isStored: false,
+      }
       add(streams, key, entry)
       add(unreported, key, entry)
     },
     merge(received, nowMs) {
       for (const [key, softwareVersion] of received) {
         if (streams.get(key)?.isOwn) continue
-        const entry = { softwareVersion, isOwn: false, recordedAtMs: nowMs }
-        add(streams, key, entry)
+        const isStored = streams.get(key)?.isStored ?? false
+        const entry = { softwareVersion, isOwn: false, isStored }
+        add(streams, key, { ...entry, recordedAtMs: nowMs })
       }
     },
     find(attemptId, nowMs) {
@@ -103,6 +119,22 @@
       }
       return updates
     },
+    findUnstored(nowMs) {
+      removeOld(streams, nowMs)
+      const unstored: StreamVersion[] = []
+      for (const [key, { isStored, service, softwareVersion }] of streams) {
+        if (unstored.length === MAX_STORED_AT_ONCE) break
+        if (isStored || (service !== undefined && !isNeeded(service))) continue
+        unstored.push([key, softwareVersion])
+      }
+      return unstored
+    },
+    markStored(stored) {
+      for (const [key] of stored) {
+        const entry = streams.get(key)
+        if (entry) entry.isStored = true
+      }
+    },
     all(nowMs) {
       removeOld(streams, nowMs)
       return [...streams].map(([key, entry]) => [key, entry.softwareVersion])
