End a connection whose waiting requests were dropped after the others

A connection stayed open without a response to what was dropped, if the head of the last response that it was to end with had been sent before, with the word that the connection is kept.

Test: limitConnections.test, ten requests ahead of which seven run with their heads out; without the change the connection does not end.

--- a/packages/router/src/node/connections/createRequestGate.ts
+++ b/packages/router/src/node/connections/createRequestGate.ts
@@ -11,8 +11,8 @@
   readonly hasRoomAhead: () => boolean
   /** Called when the number of requests that wait changes. */
   readonly onWaiting: (count: number) => void
-  /** Called once when the connection has sent too many requests ahead; it takes no more. */
-  readonly onExceeded: () => void
+  /** Called once when the connection has sent too many requests ahead; it takes no more, and ends after a response. */
+  readonly onExceeded: (last: ServerResponse | undefined) => void
   /** Monotonic clock, in milliseconds. */
   readonly now: () => number
 }
@@ -78,9 +78,8 @@
   function exceed(): void {
     if (isExceeded) return
     isExceeded = true
-    // The connection ends with the last request that was taken.
     if (last) last.shouldKeepAlive = false
-    options.onExceeded()
+    options.onExceeded(last)
   }
 
   return {
--- a/packages/router/src/node/connections/limitConnections.ts
+++ b/packages/router/src/node/connections/limitConnections.ts
@@ -129,8 +129,12 @@
         read(count > 0)
         budgeted.setWaiting(count)
       },
-      onExceeded: () => {
+      onExceeded: (last) => {
         stopParsing(socket)
+        // Its head may say already that the connection is kept.
+        last?.once('close', () => {
+          socket.destroySoon()
+        })
         readControlOf(socket).hold(HoldReason.RequestsAhead)
         onClosed(CloseReason.RequestsAhead, socket.remoteAddress ?? '')
       },
