End a connection after the requests that run, also if it took no more before

Test: createRequestGate.test, more requests ahead than a connection may have, then the drop; fails without the change.

--- a/packages/router/src/node/connections/__tests__/createRequestGate.test.ts
+++ b/packages/router/src/node/connections/__tests__/createRequestGate.test.ts
@@ -27,6 +27,7 @@
       hasRoomAhead: () => hasRoomAhead,
       onWaiting: (count) => events.push(`${count} wait`),
       onExceeded: () => events.push('exceeded'),
+      onLast: () => undefined,
       now: () => nowMs,
     })
   })
@@ -99,4 +100,12 @@
     assert.equal(responses.at(-1)?.shouldKeepAlive, false)
     assert.equal(responses.at(-2)?.shouldKeepAlive, true)
   })
+
+  // Guards against connections that are kept open for a dropped request, after which they were to end.
+  it('ends the connection after the requests that run, also if it took no more before', () => {
+    submit(MAX_UNANSWERED + 1)
+    gate.dropWaiting()
+    assert.equal(responses.length, MAX_UNDER_WAY)
+    assert.equal(responses.at(-1)?.shouldKeepAlive, false)
+  })
 })
--- a/packages/router/src/node/connections/createRequestGate.ts
+++ b/packages/router/src/node/connections/createRequestGate.ts
@@ -11,8 +11,10 @@
   readonly hasRoomAhead: () => boolean
   /** Called when the number of requests that wait changes. */
   readonly onWaiting: (count: number) => void
-  /** Called once when the connection has sent too many requests ahead; it takes no more, and ends after a response. */
-  readonly onExceeded: (last: ServerResponse | undefined) => void
+  /** Called once when the connection has sent too many requests ahead; it takes no more. */
+  readonly onExceeded: () => void
+  /** Called with the response after which the connection has to end; its head may have been sent. */
+  readonly onLast: (last: ServerResponse) => void
   /** Monotonic clock, in milliseconds. */
   readonly now: () => number
 }
@@ -75,11 +77,17 @@
     if (waiting.length !== count) options.onWaiting(waiting.length)
   }
 
+  function endAfterLast(): void {
+    if (!last) return
+    last.shouldKeepAlive = false
+    options.onLast(last)
+  }
+
   function exceed(): void {
     if (isExceeded) return
     isExceeded = true
-    if (last) last.shouldKeepAlive = false
-    options.onExceeded(last)
+    endAfterLast()
+    options.onExceeded()
   }
 
   return {
@@ -106,7 +114,8 @@
       const dropped = waiting.map(({ res }) => res)
       waiting = []
       for (const res of underWay) last = res
-      exceed()
+      if (isExceeded) endAfterLast()
+      else exceed()
       options.onWaiting(0)
       return dropped
     },
--- a/packages/router/src/node/connections/limitConnections.ts
+++ b/packages/router/src/node/connections/limitConnections.ts
@@ -129,12 +129,13 @@
         read(count > 0)
         budgeted.setWaiting(count)
       },
-      onExceeded: (last) => {
-        stopParsing(socket)
-        // Its head may say already that the connection is kept.
-        last?.once('close', () => {
+      onLast: (last) => {
+        last.once('close', () => {
           socket.destroySoon()
         })
+      },
+      onExceeded: () => {
+        stopParsing(socket)
         readControlOf(socket).hold(HoldReason.RequestsAhead)
         onClosed(CloseReason.RequestsAhead, socket.remoteAddress ?? '')
       },
