Report the streams of three targets that fail together

Each router of the fleet gets a report for each stream that a crash breaks off since crashes count wherever they come. A rack or data centre that fails breaks off streams on very many targets at once: reports of all of them exceed what a router may send for control.

Change: of targets whose streams break off within a second, a router reports those of three, as many as show a harmful request.

Test: createCrashReporter.test, ten targets that fail together, twice.

--- a/packages/router/src/node/callers/__tests__/createCrashReporter.test.ts
+++ b/packages/router/src/node/callers/__tests__/createCrashReporter.test.ts
@@ -6,20 +6,27 @@
 import { BreakPoint, createCrashReporter } from '../createCrashReporter.js'
 import { testCall } from './testCall.js'
 
-const TARGET: Target = {
-  id: 'i-1',
-  service: 'service',
-  host: '10.0.0.1',
-  port: 1,
-  slots: 1,
-  softwareVersion: 'v1',
-  draining: false,
+const TARGETS = 10
+
+function targetOf(i: number): Target {
+  return {
+    id: `i-${i}`,
+    service: 'service',
+    host: '10.0.0.1',
+    port: i,
+    slots: 1,
+    softwareVersion: 'v1',
+    draining: false,
+  }
 }
+
+const TARGET = targetOf(1)
 const PROGRESS = { sentAtMs: 0, traits: ['a'] } as unknown as CallProgress
 
 function createPlay(hasCrashed = true) {
   const targetList = createTargetList(0, () => 0)
-  targetList.set(TARGET)
+  for (let i = 1; i <= TARGETS; i += 1) targetList.set(targetOf(i))
+  const clock = { nowMs: 0 }
   const counts = { confirmations: 0, crashes: 0 }
   const report = createCrashReporter({
     harmfulTraits: {
@@ -32,13 +39,13 @@
       counts.confirmations += 1
       return Promise.resolve(hasCrashed)
     },
-    now: () => 0,
+    now: () => clock.nowMs,
   })
   async function breakOff(breakPoint: BreakPoint): Promise<void> {
     report(testCall(), TARGET, PROGRESS, breakPoint)
     await new Promise(setImmediate)
   }
-  return { targetList, counts, report, breakOff }
+  return { clock, targetList, counts, report, breakOff }
 }
 
 describe('createCrashReporter', () => {
@@ -75,4 +82,19 @@
     await breakOff(BreakPoint.Stream)
     assert.deepEqual(counts, { confirmations: 1, crashes: 21 })
   })
+
+  // Guards against a flood of reports when a rack or a data centre fails.
+  it('records the streams of three targets that fail together, and of others later', async () => {
+    const { clock, counts, report } = createPlay()
+    async function breakOffAll(): Promise<void> {
+      for (let i = 1; i <= TARGETS; i += 1)
+        report(testCall(), targetOf(i), PROGRESS, BreakPoint.Stream)
+      await new Promise(setImmediate)
+    }
+    await breakOffAll()
+    assert.equal(counts.crashes, 3)
+    clock.nowMs = 1_500
+    await breakOffAll()
+    assert.equal(counts.crashes, 6)
+  })
 })
--- a/packages/router/src/node/callers/createCrashReporter.ts
+++ b/packages/router/src/node/callers/createCrashReporter.ts
@@ -35,6 +35,14 @@
 /** Milliseconds within which responses that a target broke off share one confirmation. */
 const SHARED_CONFIRMATION_MS = 100
 
+/** Time in which targets that crash count as failing together, in milliseconds. */
+const TOGETHER_MS = 1_000
+/**
+ * Targets that fail together whose streams are reported: as many as show a harmful request.
+ * Each report reaches every router, and the loss of a data centre breaks off very many streams.
+ */
+const MAX_TOGETHER = 3
+
 /** Creates a reporter. */
 export function createCrashReporter({
   harmfulTraits,
@@ -72,9 +80,23 @@
     )
   }
 
+  /** Times at which streams of targets broke off lately. */
+  const brokenAtMs = new Map<string, number>()
+
+  /** Whether a target fails together with others whose streams are reported. */
+  function isOneOfMany(incarnation: string): boolean {
+    for (const [other, atMs] of brokenAtMs)
+      if (now() - atMs > TOGETHER_MS) brokenAtMs.delete(other)
+    if (brokenAtMs.has(incarnation)) return false
+    if (brokenAtMs.size >= MAX_TOGETHER) return true
+    brokenAtMs.set(incarnation, now())
+    return false
+  }
+
   return ({ request }, target, { sentAtMs, traits }, breakPoint) => {
-    if (breakPoint === BreakPoint.Stream && ends(target)) return
     const incarnation = targetIncarnation(target)
+    const isStream = breakPoint === BreakPoint.Stream
+    if (isStream && (ends(target) || isOneOfMany(incarnation))) return
     const crash = { target: incarnation, sentAtMs, crashedAtMs: now(), traits }
     void confirm(target, incarnation).then((hasCrashed) => {
       if (hasCrashed) harmfulTraits.recordCrash(request.attemptId, crash)
