Store a peer's stream again when it was sent again at another version

Callers could get a stream joined from two versions after a loss of all routers: a peer's stream that the log had at one version, and that was sent again at another before its first event, was never written again.

Cause: what a peer reports replaced the version and kept the mark that it is stored.

Change: the mark is kept only with the same version.

--- a/packages/router/src/node/streams/__tests__/createStreamVersions.test.ts
+++ b/packages/router/src/node/streams/__tests__/createStreamVersions.test.ts
@@ -54,6 +54,20 @@
     assert.deepEqual(versions.takeUpdates(20), [[streamKeyOf('a'), 'v2']])
   })
 
+  // Guards against a log that names a version which the stream was sent to before (ORDER after a loss of all routers).
+  it('stores a stream of a peer again when it was sent again at another version', () => {
+    const versions = createStreamVersions({
+      lifetimeMs: () => LIFETIME_MS,
+      isNeeded: () => true,
+    })
+    versions.merge([[streamKeyOf('a'), 'v1']], 0)
+    versions.markStored(versions.findUnstored(0))
+    versions.merge([[streamKeyOf('a'), 'v1']], 10)
+    assert.deepEqual(versions.findUnstored(10), [])
+    versions.merge([[streamKeyOf('a'), 'v2']], 20)
+    assert.deepEqual(versions.findUnstored(20), [[streamKeyOf('a'), 'v2']])
+  })
+
   it('believes the router that the caller is connected to, not the peer that relays', () => {
     const versions = createStreamVersions({
       lifetimeMs: () => LIFETIME_MS,
--- a/packages/router/src/node/streams/createStreamVersions.ts
+++ b/packages/router/src/node/streams/createStreamVersions.ts
@@ -98,8 +98,11 @@
     },
     merge(received, nowMs) {
       for (const [key, softwareVersion] of received) {
-        if (streams.get(key)?.isOwn) continue
-        const isStored = streams.get(key)?.isStored ?? false
+        const known = streams.get(key)
+        if (known?.isOwn) continue
+        // A stream that was sent again at another version is stored again.
+        const isStored =
+          known?.softwareVersion === softwareVersion && known.isStored
         const entry = { softwareVersion, isOwn: false, isStored }
         add(streams, key, { ...entry, recordedAtMs: nowMs })
       }
