Log where a router learns of a change of targets, and the age of its list

Whether a router had not been told, had put an older entry into force or had written a request that was placed before could not be told from its lines.

Lines about listed targets say where the change came from and how old the list was that lacked it. `target-ready` shows a drain that is taken back, `removals-delayed` the time after an outage in which removed targets stay. A histogram has the age of the list as requests are written.

--- a/packages/router/src/node/callers/createCallPath.ts
+++ b/packages/router/src/node/callers/createCallPath.ts
@@ -24,6 +24,8 @@
 import { createExplainer, type Explainer } from '../explain/createExplainer.js'
 import { createDispatcher, type Dispatcher } from './createDispatcher.js'
 
+const MS_PER_S = 1_000
+
 /** Options for {@link createCallPath}. */
 export interface CallPathOptions {
   /** Returns the current settings, which a reload may change. */
@@ -64,7 +66,7 @@
 
 /** Creates the path of calls from their admission to the targets. */
 export function createCallPath(options: CallPathOptions): CallPath {
-  const { settings, protocol, routingState, fleetSize, now } = options
+  const { settings, protocol, routingState, fleetSize, metrics, now } = options
   const statements = createTargetStatements({
     ...options,
     targetList: routingState.targetList,
@@ -83,7 +85,10 @@
     onStatement: (target, statement) => {
       statements.observe(target, statement)
     },
-    acceptsRequests: (target) => statements.acceptsRequests(target),
+    acceptsRequests: (target) => {
+      metrics.recordTargetListAge(options.targetsAgeMs() / MS_PER_S)
+      return statements.acceptsRequests(target)
+    },
   })
   const peerRelay = createPeerRelay()
   const routerCount = (): number | undefined => fleetSize.count(now())
--- a/packages/router/src/node/logging/logEvent.ts
+++ b/packages/router/src/node/logging/logEvent.ts
@@ -10,7 +10,11 @@
   ConfigurationActivated = 'configuration-in-force',
   TargetListed = 'target-listed',
   TargetDraining = 'target-draining',
+  /** An entry that said that its target drains no longer says so. */
+  TargetReady = 'target-ready',
   TargetRemoved = 'target-gone',
+  /** Removed targets stay for some time, as their entries may return. */
+  RemovalsDelayed = 'removals-delayed',
   TargetLeaving = 'target-leaving',
   TargetPaused = 'target-paused',
   TargetPauseRejected = 'target-pause-rejected',
--- a/packages/router/src/node/metrics/createRouterMetrics.ts
+++ b/packages/router/src/node/metrics/createRouterMetrics.ts
@@ -9,6 +9,11 @@
 /** Upper bounds of the latency buckets, in seconds. */
 const LATENCY_BUCKETS_S = [0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12, 30]
 
+/** Upper bounds of the buckets for the age of the target list, in seconds; the bound on drains is 2 to 4. */
+const LIST_AGE_BUCKETS_S = [0.25, 0.5, 0.75, 1, 1.5, 2, 2.5, 3, 4, 6]
+/** Age that stands for an unknown one, in seconds. */
+const UNKNOWN_AGE_S = 60
+
 /** Name and help of the gauge of each field. */
 const FLEET_GAUGES: Record<keyof FleetStatus, readonly [string, string]> = {
   livePeers: [
@@ -100,6 +105,12 @@
     buckets: LATENCY_BUCKETS_S,
     registers,
   })
+  const targetListAges = new Histogram({
+    name: 'auburnbay_target_list_age_seconds',
+    help: 'Age of the target list as a request is written to a target.',
+    buckets: LIST_AGE_BUCKETS_S,
+    registers,
+  })
   const statements = new Counter({
     name: 'auburnbay_target_statements_total',
     help: 'Responses in which a target said that it leaves or wants rest.',
@@ -155,6 +166,9 @@
     recordResponseHead(service, seconds) {
       responseHeads.observe({ service }, seconds)
     },
+    recordTargetListAge(seconds) {
+      targetListAges.observe(Math.min(seconds, UNKNOWN_AGE_S))
+    },
     recordResend(service, cause) {
       resends.inc({ service, cause })
     },
--- a/packages/router/src/node/metrics/routerMetrics.ts
+++ b/packages/router/src/node/metrics/routerMetrics.ts
@@ -33,6 +33,8 @@
   recordRequest(route: string, status: number, seconds: number): void
   /** Records the time from a send to the response headers of the target. */
   recordResponseHead(service: string, seconds: number): void
+  /** Records the age of the target list as a request is written; infinite if unknown. */
+  recordTargetListAge(seconds: number): void
   /** Records a send to a further target. */
   recordResend(service: string, cause: string): void
   /** Records why a send was placed on its target and the prompt tokens to prefill there. */
--- a/packages/router/src/node/peers/createPeerStateFetcher.ts
+++ b/packages/router/src/node/peers/createPeerStateFetcher.ts
@@ -1,4 +1,3 @@
-import { requestBytes } from '@auburnbay/http-utils/requestBytes'
 import type { DecisionLog } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
 import type { CacheLocations } from '../routing/createCacheLocations.js'
@@ -6,13 +5,12 @@
 import type { Peer } from './createPeerTable.js'
 import { createRecordsComparison } from './createRecordsComparison.js'
 import type { SharedRecords } from './createSharedRecords.js'
-import { statePath } from './createPeerStateServer.js'
-import { decodePeerState } from './peerState.js'
+import type { PeerAddress } from './peerAddress.js'
+import type { PeerState, PeerStateQuery } from './peerState.js'
+import { STATE_TIMEOUT_MS } from './requestPeerState.js'
 import type { RouterState } from './routerState.js'
 import { decodeRecord } from './sharedRecord.js'
 
-/** Timeout of a fetch, in milliseconds. */
-const FETCH_TIMEOUT_MS = 800
 /** Milliseconds between two fetches. */
 const FETCH_PAUSE_MS = 100
 
@@ -22,6 +20,11 @@
   readonly cacheLocations: CacheLocations
   readonly streams: ResumableStreams
   readonly records: SharedRecords
+  /** Requests what this router lacks of a peer's state. */
+  readonly requestState: (
+    address: PeerAddress,
+    query: PeerStateQuery,
+  ) => Promise<PeerState | undefined>
   readonly log: DecisionLog
   /** Monotonic clock, in milliseconds. */
   readonly now: () => number
@@ -47,6 +50,7 @@
   const { routerState, cacheLocations, streams, records, log, now } = options
   const recordsComparison = createRecordsComparison()
   let isFetching = false
+  let pausedUntilMs = -Infinity
   let hasFetched = false
   let needsCacheLocations = true
 
@@ -73,8 +77,8 @@
   }
 
   async function fetchState({ router, address, digest }: Peer): Promise<void> {
-    const { host, port } = address
-    const path = statePath({
+    const sentAtMs = now()
+    const state = await options.requestState(address, {
       knownVersion: routerState.configurationVersion(),
       ...(hasFetched && {
         targetsFingerprint: routerState.targetsFingerprint(),
@@ -82,17 +86,8 @@
       wantsPlacements: needsCacheLocations,
       wantsRecords: digest?.recordsFingerprint !== records.fingerprint(),
     })
-    const sentAtMs = now()
-    const response = await requestBytes({
-      url: `http://${host}:${port}${path}`,
-      method: 'GET',
-      timeoutMs: FETCH_TIMEOUT_MS,
-    })
-    const state = response.isOk()
-      ? decodePeerState(response.value.body)
-      : undefined
     if (!state) {
-      const reason = `no valid state within ${FETCH_TIMEOUT_MS} ms`
+      const reason = `no valid state within ${STATE_TIMEOUT_MS} ms`
       log.write(LogEvent.PeerFailed, { router, reason })
       return
     }
@@ -110,7 +105,7 @@
     }
     const ageMs = (targetsAgeMs ?? Infinity) + now() - sentAtMs
     if (ageMs >= routerState.targetsAgeMs()) return
-    if (targets) routerState.applyTargets(targets, ageMs)
+    if (targets) routerState.applyTargets(targets, ageMs, router)
   }
 
   return {
@@ -118,12 +113,11 @@
       needsCacheLocations = true
     },
     onDigest(peer) {
-      if (isFetching || !hasNewer(peer)) return
+      if (isFetching || now() < pausedUntilMs || !hasNewer(peer)) return
       isFetching = true
       void fetchState(peer).finally(() => {
-        setTimeout(() => {
-          isFetching = false
-        }, FETCH_PAUSE_MS).unref()
+        isFetching = false
+        pausedUntilMs = now() + FETCH_PAUSE_MS
       })
     },
   }
--- a/packages/router/src/node/peers/createPeers.ts
+++ b/packages/router/src/node/peers/createPeers.ts
@@ -30,7 +30,8 @@
 import { findPeersWithTargets } from './findPeersWithTargets.js'
 import { createRouterStatus } from './createRouterStatus.js'
 import type { RelayedRequestHandler } from './relayedRequest.js'
-import { readerTakeoverMs } from './readerTakeoverMs.js'
+import { createReaderWatch } from './createReaderWatch.js'
+import { requestPeerState } from './requestPeerState.js'
 import type { RouterState } from './routerState.js'
 
 /** Options for {@link createPeers}. */
@@ -92,7 +93,11 @@
   const { id: router } = settings.router
   let listedRouters: string[] | undefined
   let lastFleetOutageAtMs = now()
-  const fetcher = createPeerStateFetcher({ ...options, routerState: state })
+  const fetcher = createPeerStateFetcher({
+    ...options,
+    routerState: state,
+    requestState: requestPeerState,
+  })
   const pollers = createPollers()
 
   const server = await createPeerStateServer(
@@ -133,6 +138,13 @@
   })
   options.metrics.watchFleet(() => exchange.status())
   const { table } = exchange.view
+  const readerWatch = createReaderWatch({
+    router,
+    table,
+    pollers,
+    maxPollAgeMs,
+    now,
+  })
 
   function onDigest(received: PeerDigest, host: string): void {
     const wasKnown = table.find(received.router, now()) !== undefined
@@ -148,17 +160,6 @@
     if (peer) fetcher.onDigest(peer)
   }
 
-  /** Returns the live peers that precede this router by name, and so poll the log before it. */
-  function earlierPeers(): Peer[] {
-    return table.livePeers(now()).filter((peer) => peer.router < router)
-  }
-
-  /** Whether a router that precedes this one by name has polled a source lately. */
-  function hasReader(source: PolledSource): boolean {
-    const maxAgeMs = readerTakeoverMs(maxPollAgeMs(), earlierPeers().length)
-    return pollers.hasFreshBefore(router, source, maxAgeMs, now())
-  }
-
   function observeOutage(): void {
     const shortMs = Math.max(constants.SHORT_OUTAGE_MS, maxPollAgeMs())
     if (pollers.latestAgeMs(PolledSource.Targets, now()) > shortMs)
@@ -185,7 +186,7 @@
     logRestores,
     router,
     address,
-    hasLister: () => earlierPeers().length > 0,
+    hasLister: () => readerWatch.earlierPeers().length > 0,
     onListed: (listed) => {
       listedRouters = [...listed.keys()]
       fleetSize.recordListed(listedRouters, now())
@@ -195,11 +196,12 @@
   })
 
   return {
-    hasFreshConfigurationReader: () => hasReader(PolledSource.Configurations),
-    hasFreshTargetReader: () => hasReader(PolledSource.Targets),
+    hasFreshConfigurationReader: () =>
+      readerWatch.hasReader(PolledSource.Configurations),
+    hasFreshTargetReader: () => readerWatch.hasReader(PolledSource.Targets),
     outagePeers: (source) => ({
       hasReader: pollers.latestAgeMs(source, now()) <= maxPollAgeMs(),
-      hasEarlierPeer: earlierPeers().length > 0,
+      hasEarlierPeer: readerWatch.earlierPeers().length > 0,
       routers: table.livePeers(now()).length + 1,
     }),
     listedRouters: () => listedRouters,
--- a/packages/router/src/node/peers/createRouterState.ts
+++ b/packages/router/src/node/peers/createRouterState.ts
@@ -34,8 +34,8 @@
     targets: () => [...targetList.all()],
     targetIds: () => targetList.ids(),
     applyConfiguration: options.applyConfiguration,
-    applyTargets(peerTargets, ageMs) {
-      targets.applyPeerList(peerTargets, ageMs)
+    applyTargets(peerTargets, ageMs, from) {
+      targets.applyPeerList(peerTargets, ageMs, from)
     },
     confirmTargets(ageMs) {
       targets.confirm(ageMs)
--- a/packages/router/src/node/peers/routerState.ts
+++ b/packages/router/src/node/peers/routerState.ts
@@ -18,8 +18,8 @@
   targetIds(): readonly string[]
   /** Activates a configuration of the peer `from` if it is newer. */
   applyConfiguration(configuration: RouterConfiguration, from: string): void
-  /** Applies the target list that a peer had `ageMs` ago. */
-  applyTargets(targets: readonly Target[], ageMs: number): void
+  /** Applies the target list that the peer `from` had `ageMs` ago. */
+  applyTargets(targets: readonly Target[], ageMs: number, from: string): void
   /** Records that a peer had the same target list `ageMs` ago. */
   confirmTargets(ageMs: number): void
 }
--- a/packages/router/src/node/sources/createSourceFollower.ts
+++ b/packages/router/src/node/sources/createSourceFollower.ts
@@ -1,4 +1,4 @@
-import { setTimeout as sleep } from 'node:timers/promises'
+import { setTimeout as sleepFor } from 'node:timers/promises'
 import type { LogRestores } from './createLogRestores.js'
 import type { KeyedSource, SourceEntry } from './keyedSource.js'
 import { RETRY_MS } from './outageRetryMs.js'
@@ -11,6 +11,11 @@
   readonly pollIntervalMs: number
   /** Monotonic clock, in milliseconds. */
   readonly now: () => number
+  /**
+   * Resolves after some milliseconds on that clock, or when the signal aborts.
+   * @default a timer
+   */
+  readonly sleep?: (ms: number, signal: AbortSignal) => Promise<void>
   /** Whether the process has paused since a time on that clock; never by default. */
   readonly hasPausedSince?: (sinceMs: number) => boolean
   /** Whether a peer polls for this router, which then only lists the source once. */
@@ -39,11 +44,16 @@
   stop(): void
 }
 
+async function sleepWithTimer(ms: number, signal: AbortSignal): Promise<void> {
+  await sleepFor(ms, undefined, { signal }).catch(() => undefined)
+}
+
 /** Starts to follow a source. */
 export function createSourceFollower<T>(
   options: SourceFollowerOptions<T>,
 ): SourceFollower {
   const { source, now, onListing, onEntry, logRestores } = options
+  const { sleep = sleepWithTimer } = options
   const hasPausedSince = options.hasPausedSince ?? (() => false)
   const stopping = new AbortController()
   const { signal } = stopping
@@ -145,7 +155,7 @@
     let waitedMs = 0
     do {
       const stepMs = Math.min(RETRY_MS, delayMs() - waitedMs)
-      await sleep(stepMs, undefined, { signal }).catch(() => undefined)
+      await sleep(stepMs, signal)
       waitedMs += RETRY_MS
     } while (!signal.aborted && waitedMs < delayMs())
   }
--- a/packages/router/src/node/sources/keyedSource.ts
+++ b/packages/router/src/node/sources/keyedSource.ts
@@ -19,6 +19,8 @@
   readonly entries: readonly SourceEntry<T>[]
   /** Offset of the next read. */
   readonly nextOffset: number
+  /** Offset after the last change of the log as it responded; by default {@link nextOffset}. */
+  readonly endOffset?: number
 }
 
 /** Keyed values written by others, readable as a whole and as a log of changes. */
--- a/packages/router/src/node/targets/followTargets.ts
+++ b/packages/router/src/node/targets/followTargets.ts
@@ -1,6 +1,6 @@
 import { LRUCache } from 'lru-cache'
 import { REJOIN_WINDOW_MS, SHORT_OUTAGE_MS } from '../constants.js'
-import type { DecisionLog } from '../logging/decisionLog.js'
+import type { DecisionLog, LogFields } from '../logging/decisionLog.js'
 import { LogEvent } from '../logging/logEvent.js'
 import { createSourceFollower } from '../sources/createSourceFollower.js'
 import type { LogRestores } from '../sources/createLogRestores.js'
@@ -25,6 +25,8 @@
   readonly lastFleetOutageAtMs: () => number
   /** Monotonic clock, in milliseconds. */
   readonly now: () => number
+  /** Resolves after some milliseconds on that clock; a timer by default. */
+  readonly sleep?: (ms: number, signal: AbortSignal) => Promise<void>
   /** Whether the process has paused since a time on that clock. */
   readonly hasPausedSince: (sinceMs: number) => boolean
   /** Whether a peer polls the source for this router. */
@@ -44,8 +46,8 @@
   ageMs(): number
   /** Whether the list was loaded from the source or from a peer. */
   isLoaded(): boolean
-  /** Applies a list that a peer had `ageMs` ago. */
-  applyPeerList(targets: readonly Target[], ageMs: number): void
+  /** Applies a list that the peer `from` had `ageMs` ago. */
+  applyPeerList(targets: readonly Target[], ageMs: number, from: string): void
   /** Records that a peer had the same list `ageMs` ago. */
   confirm(ageMs: number): void
   /** Marks the list as stale until the source is polled again. */
@@ -64,7 +66,13 @@
   // A peer's older list must not bring removed targets back.
   const removed = new LRUCache<string, true>({ max: MAX_REMOVED })
 
-  function set({ coldMs = 0, ...entry }: ListedTarget): void {
+  /** Returns where a change was learnt, and the age of the list that lacked it. */
+  function learntFrom(from: string): LogFields {
+    const listAgeMs = Math.round(ageMs())
+    return { from, ...(Number.isFinite(listAgeMs) && { listAgeMs }) }
+  }
+
+  function set({ coldMs = 0, ...entry }: ListedTarget, from: string): void {
     const known = targetList.find(entry.id)
     removed.delete(entry.id)
     // The list of a peer of an earlier release names no data centres.
@@ -77,14 +85,16 @@
     const { id, service, draining } = target
     if (known?.draining === draining) return
     options.onChange()
-    if (!known) log.write(LogEvent.TargetListed, { target: id, service })
-    if (draining) log.write(LogEvent.TargetDraining, { target: id, service })
+    const line = { target: id, service, ...learntFrom(from) }
+    if (!known) log.write(LogEvent.TargetListed, line)
+    if (draining) log.write(LogEvent.TargetDraining, line)
+    else if (known) log.write(LogEvent.TargetReady, line)
   }
 
-  function remove(id: string): void {
+  function remove(id: string, from: string): void {
     if (!targetList.find(id)) return
     removed.set(id, true)
-    log.write(LogEvent.TargetRemoved, { target: id })
+    log.write(LogEvent.TargetRemoved, { target: id, ...learntFrom(from) })
     targetList.remove(id, now())
     options.onChange()
   }
@@ -93,10 +103,15 @@
     confirmedAtMs = Math.max(confirmedAtMs, now() - ageMs)
   }
 
+  function startRejoinWindow(): void {
+    targetList.startRejoinWindow(now())
+    log.write(LogEvent.RemovalsDelayed, { delayMs: REJOIN_WINDOW_MS })
+  }
+
   logRestores.onRestore(() => {
     restoredAtMs = now()
     // Targets that registered after the copy was made register again.
-    targetList.startRejoinWindow(restoredAtMs)
+    startRejoinWindow()
   })
 
   /** Whether a listed entry may be from before a change that the log has lost. */
@@ -104,11 +119,15 @@
     return now() - restoredAtMs < REJOIN_WINDOW_MS && isOutdated(target)
   }
 
-  function replace(values: ReadonlyMap<string, ListedTarget>): void {
+  function replace(
+    values: ReadonlyMap<string, ListedTarget>,
+    from: string,
+  ): void {
     for (const target of values.values())
-      if (!isFromOldCopy(target)) set(target)
+      if (!isFromOldCopy(target)) set(target, from)
     isLoaded = true
-    for (const { id } of [...targetList.all()]) if (!values.has(id)) remove(id)
+    for (const { id } of [...targetList.all()])
+      if (!values.has(id)) remove(id, from)
   }
 
   /** Whether an entry is older than what this router knows. */
@@ -127,16 +146,20 @@
     return known.length > 0 && known.length < targets.length
   }
 
-  function applyPeerList(targets: readonly Target[], ageMs: number): void {
+  function applyPeerList(
+    targets: readonly Target[],
+    peerAgeMs: number,
+    from: string,
+  ): void {
     // Either the peer's list is outdated or the target returned; only a poll of the source shows which.
     if (targets.some(isOutdated)) {
       mustPoll = true
       return
     }
-    replace(new Map(targets.map((target) => [target.id, target])))
+    replace(new Map(targets.map((target) => [target.id, target])), from)
     // A peer of an earlier release passes on targets without their data centres.
     if (lacksDataCentres()) mustPoll = true
-    else confirm(ageMs)
+    else confirm(peerAgeMs)
   }
 
   const follower = createSourceFollower({
@@ -149,11 +172,14 @@
       mustPoll = false
     },
     now,
+    ...(options.sleep && { sleep: options.sleep }),
     hasPausedSince: options.hasPausedSince,
-    onListing: replace,
+    onListing: (values) => {
+      replace(values, 'listing')
+    },
     onEntry: ({ key, value }) => {
-      if (value) set(value)
-      else remove(key)
+      if (value) set(value, 'log')
+      else remove(key, 'log')
     },
     onUnavailable: sourceLogger.logUnavailable,
     onRecovered: (outageMs) => {
@@ -161,17 +187,18 @@
       // Lost entries have returned by now if a peer could read for that long.
       const spanMs = Math.min(outageMs, REJOIN_WINDOW_MS)
       const isFleetOutage = options.lastFleetOutageAtMs() > now() - spanMs
-      if (outageMs > SHORT_OUTAGE_MS && isFleetOutage)
-        targetList.startRejoinWindow(now())
+      if (outageMs > SHORT_OUTAGE_MS && isFleetOutage) startRejoinWindow()
     },
   })
 
+  function ageMs(): number {
+    if (mustPoll) return Infinity
+    return Math.min(follower.lastPollAgeMs(), now() - confirmedAtMs)
+  }
+
   return {
     lastPollAgeMs: () => (mustPoll ? Infinity : follower.lastPollAgeMs()),
-    ageMs() {
-      if (mustPoll) return Infinity
-      return Math.min(follower.lastPollAgeMs(), now() - confirmedAtMs)
-    },
+    ageMs,
     isLoaded: () => isLoaded,
     confirm,
     applyPeerList,
