Test that every router knows of leaving targets within the drain time

Simulates the target lists of 9, 60 and 195 routers on a fake clock: the log, digests, transfers of state and the followers, with routers that die, freeze, are cut from the log, are slow or transfer nothing, lost datagrams, and a log with pages and retention. In each case one target drains and one is removed, and no router in touch may offer either after the drain time.

--- a/packages/router/src/node/dissemination/__tests__/largeFleet.test.ts
+++ b/packages/router/src/node/dissemination/__tests__/largeFleet.test.ts
@@ -2,7 +2,8 @@
 import { describe, it } from 'node:test'
 import { FleetRole } from '../../membership/createTopology.js'
 import { PolledSource } from '../createPollers.js'
-import { createTestFleet, type TestRouter } from './testFleet.js'
+import { createTestFleet } from './testFleet.js'
+import type { TestRouter } from './testRouter.js'
 
 const ROUTERS = 195
 const TARGET = 'i-0000'
--- a/packages/router/src/node/dissemination/__tests__/testFleet.ts
+++ b/packages/router/src/node/dissemination/__tests__/testFleet.ts
@@ -5,40 +5,16 @@
   encodeDigest,
   type PeerDigest,
 } from '../../peers/peerDigest.js'
-import {
-  type CacheLocations,
-  createCacheLocations,
-} from '../../routing/createCacheLocations.js'
-import {
-  createFleetLoad,
-  type FleetLoad,
-} from '../../routing/createFleetLoad.js'
+import { createCacheLocations } from '../../routing/createCacheLocations.js'
+import { createFleetLoad } from '../../routing/createFleetLoad.js'
 import {
   createDigestExchange,
   type DigestExchange,
 } from '../createDigestExchange.js'
-import { createPollers, type Pollers } from '../createPollers.js'
+import { createPollers } from '../createPollers.js'
 import { Direction } from '../createUpdateQueue.js'
-
-/** One router of a simulated fleet. */
-export interface TestRouter {
-  readonly id: string
-  readonly exchange: DigestExchange
-  readonly load: FleetLoad
-  readonly cacheLocations: CacheLocations
-  readonly pollers: Pollers
-  /** Peers that it counted as lost, with the time. */
-  readonly lost: (readonly [peer: string, atMs: number])[]
-  isRunning: boolean
-  isFrozen: boolean
-  isStopping: boolean
-  /** Milliseconds that its digests take longer. */
-  lagMs: number
-  /** Milliseconds since its last own poll of the log; null if it polls nothing. */
-  pollAgeMs: number | null
-  sentBytes: number
-  sentDigests: number
-}
+import { createTestRandom } from './testRandom.js'
+import type { TestListKeeper, TestRouter } from './testRouter.js'
 
 /** Options for {@link createTestFleet}. */
 export interface TestFleetOptions {
@@ -48,6 +24,8 @@
   /** Returns whether a datagram passes between two routers. */
   readonly isCut?: (from: string, to: string) => boolean
   readonly targets?: number
+  /** Creates what keeps the target list of a router; without it all have the same one. */
+  readonly keepList?: (router: TestRouter, now: () => number) => TestListKeeper
   /** Number of the first router. */
   readonly firstNumber?: number
 }
@@ -57,18 +35,9 @@
 /** IPv4 and UDP headers of a datagram. */
 const HEADER_BYTES = 28
 
-/** A linear congruential generator: the same seed gives the same losses. */
-function createRandom(seed: number): () => number {
-  let state = seed >>> 0
-  return () => {
-    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0
-    return state / 2 ** 32
-  }
-}
-
 /** Simulates the digests of a fleet on a fake clock, without sockets. */
 export function createTestFleet(options: TestFleetOptions) {
-  const random = createRandom(7)
+  const random = createTestRandom(7)
   const targetIds = Array.from(
     { length: options.targets ?? 20 },
     (_, i) => `i-${String(i).padStart(4, '0')}`,
@@ -118,6 +87,7 @@
         logRestores: 1,
         recordsFingerprint: records.fingerprint(),
         targetResponseMs: 0,
+        ...router.listKeeper?.status(),
       }),
       state: {
         targetIds: () => targetIds,
@@ -145,6 +115,7 @@
       load,
       cacheLocations,
       pollers,
+      records,
       lost: [],
       isRunning: true,
       isFrozen: false,
@@ -154,6 +125,7 @@
       sentBytes: 0,
       sentDigests: 0,
     }
+    router.listKeeper = options.keepList?.(router, now)
     nextTickMs.set(id, nowMs + offsetMs)
     routers.set(id, router)
     return router
@@ -183,10 +155,19 @@
         continue
       }
       const digest = decodeDigest(message.bytes)
-      if (digest) router.exchange.receive(digest, message.host)
+      if (!digest || !router.exchange.receive(digest, message.host)) continue
+      const peer = router.exchange.view.table.find(digest.router, nowMs)
+      if (peer) router.listKeeper?.onDigest(peer)
     }
   }
 
+  function step(): void {
+    receive()
+    for (const router of routers.values())
+      if (router.isRunning && !router.isFrozen) tick(router)
+    nowMs += STEP_MS
+  }
+
   /** Lists all routers, as the router directory does. */
   function list(router: TestRouter): void {
     for (const id of routers.keys())
@@ -206,12 +187,9 @@
     },
     running: () => [...routers.values()].filter(({ isRunning }) => isRunning),
     runFor(ms: number) {
-      for (const endMs = nowMs + ms; nowMs < endMs; nowMs += STEP_MS) {
-        receive()
-        for (const router of routers.values())
-          if (router.isRunning && !router.isFrozen) tick(router)
-      }
+      for (const endMs = nowMs + ms; nowMs < endMs;) step()
     },
+    step,
     /** Starts a router, also again under the id that it had. */
     restart(id: string): TestRouter {
       const router = start(id)
@@ -232,8 +210,8 @@
         if (isRunning) requests += load.own().get(targetId)?.requests ?? 0
       return requests
     },
-    sendNow(router: TestRouter) {
-      router.exchange.sendNow([Direction.Up])
+    sendNow(router: TestRouter, directions = [Direction.Up]) {
+      router.exchange.sendNow(directions)
     },
     targetIds,
   }
