Read the log to its end before a change of it is applied

When the router that polls the target list died, those that took over read on from the offset of their own last read, which may be a minute old. The first page then ends before the log does.

A page now carries the end of the log. A follower reads on until there, then applies the last change of each key; only that counts as a poll.

--- a/packages/router/src/node/sources/__tests__/createSourceFollower.test.ts
+++ b/packages/router/src/node/sources/__tests__/createSourceFollower.test.ts
@@ -84,6 +84,18 @@
     assert.deepEqual(seen, ['listing a', 'b=2', 'a=gone'])
   })
 
+  it('applies no change before it has read to the end of the log', async () => {
+    const draining = { key: 'a', value: 'draining' }
+    const older = { entries: [{ key: 'a', value: 'ready' }], nextOffset: 5 }
+    const pages = [
+      { ...older, endOffset: 6 },
+      { entries: [draining], nextOffset: 6, endOffset: 6 },
+    ]
+    const { requests, seen } = await follow([listing(4), ...pages], 4)
+    assert.deepEqual(requests, ['list', 'read 4', 'read 5', 'read 6'])
+    assert.deepEqual(seen, ['listing a', 'a=draining'])
+  })
+
   it('lists again after the records were deleted', async () => {
     const { requests } = await follow(
       [listing(4), SourceFault.Trimmed, listing(9)],
--- a/packages/router/src/node/sources/createSourceFollower.ts
+++ b/packages/router/src/node/sources/createSourceFollower.ts
@@ -123,27 +123,34 @@
     return true
   }
 
+  /** Reads the changes from an offset up to the end of the log, of which the log may return a part at a time. */
   async function readChanges(from: number): Promise<boolean> {
     const startedAtMs = now()
-    const page = await source.read(from)
-    if (page.isErr()) {
-      onFault(page.error)
-      return page.error === SourceFault.Trimmed
-    }
-    endOutage()
-    if (wasRestoredSince(offsetRestores)) {
-      nextOffset = undefined
-      return false
-    }
-    // A next offset below `from` means that the log was replaced by another one.
-    setNextOffset(
-      page.value.nextOffset < from ? undefined : page.value.nextOffset,
-    )
     // Only the last change of a key counts; earlier ones are superseded.
-    const last = new Map(page.value.entries.map((entry) => [entry.key, entry]))
-    for (const entry of last.values()) onEntry(entry, page.value.nextOffset)
-    countPoll(startedAtMs)
-    return true
+    const changes = new Map<string, SourceEntry<T>>()
+    for (let offset = from; ;) {
+      const page = await source.read(offset)
+      if (page.isErr()) {
+        onFault(page.error)
+        return page.error === SourceFault.Trimmed
+      }
+      endOutage()
+      if (wasRestoredSince(offsetRestores)) {
+        nextOffset = undefined
+        return false
+      }
+      const { entries, nextOffset: next, endOffset = next } = page.value
+      for (const entry of entries) changes.set(entry.key, entry)
+      const isReplaced = next < from
+      if (isReplaced || next >= endOffset) {
+        setNextOffset(isReplaced ? undefined : next)
+        for (const entry of changes.values()) onEntry(entry, next)
+        countPoll(startedAtMs)
+        return true
+      }
+      if (next === offset) return false
+      offset = next
+    }
   }
 
   function lastPollAgeMs(): number {
