List targets at once where the log has dropped the offset of a router

A router that takes over reading the target list reads on from the offset of its last own read. Where the log keeps 20 s of history that offset has expired; the router then waited a whole poll interval (750 ms of the 3,000 within which callers' requests must stop) before it listed, and so did all the others that took over with it. The same wait followed when the log's history was dropped or the log was replaced.

The listing now follows at once. After 3 s without a poll a router lists instead of reading on: targets write their entries about each second, so the listing is smaller than the changes.

Both new tests fail before: an interval lay between the answer that the records are gone and the listing, and the history was read after any time.

--- a/packages/router/src/node/sources/__tests__/createSourceFollower.test.ts
+++ b/packages/router/src/node/sources/__tests__/createSourceFollower.test.ts
@@ -3,7 +3,10 @@
 import { describe, it } from 'node:test'
 import { setImmediate as turn } from 'node:timers/promises'
 import { err, ok } from 'neverthrow'
-import { createSourceFollower } from '../createSourceFollower.js'
+import {
+  createSourceFollower,
+  type SourceFollowerOptions,
+} from '../createSourceFollower.js'
 import type { KeyedSource, SourceListing, SourcePage } from '../keyedSource.js'
 import { SourceFault } from '../sourceFault.js'
 
@@ -37,6 +40,9 @@
   responses: SourceResponse[],
   requestCount: number,
   outageRetryMs = () => 0,
+  intervals: Partial<
+    Pick<SourceFollowerOptions<string>, 'pollIntervalMs' | 'listAfterMs'>
+  > = {},
 ) {
   const source = createFakeSource(responses)
   const seen: string[] = []
@@ -57,6 +63,7 @@
     },
     pollIntervalMs: 0,
     outageRetryMs,
+    ...intervals,
     now: () => (nowMs += 100),
     onListing: (values) => seen.push(`listing ${[...values.keys()].join()}`),
     onEntry: ({ key, value }) => seen.push(`${key}=${value ?? 'gone'}`),
@@ -104,6 +111,38 @@
     assert.deepEqual(requests, ['list', 'read 4', 'list', 'read 9'])
   })
 
+  it('waits for no interval between deleted records and the next listing', async () => {
+    let sleeps = 0
+    const counts: number[] = []
+    const source = createFakeSource([
+      listing(4),
+      SourceFault.Trimmed,
+      listing(9),
+    ])
+    const follower = createSourceFollower({
+      source,
+      pollIntervalMs: 300,
+      sleep: () => {
+        sleeps += 1
+        return turn()
+      },
+      now: () => 0,
+      onListing: () => counts.push(sleeps),
+      onEntry: () => undefined,
+    })
+    while (counts.length < 2) await turn()
+    follower.stop()
+    // One interval, in two steps, lies between the first listing and the read.
+    assert.deepEqual(counts, [0, 2])
+  })
+
+  it('lists the source after a time without a poll in which much has changed', async () => {
+    const { requests } = await follow([listing(4), listing(9)], 2, () => 0, {
+      listAfterMs: 50,
+    })
+    assert.deepEqual(requests, ['list', 'list'])
+  })
+
   it('lists again after the log was replaced by a shorter one', async () => {
     const shorter = { entries: [], nextOffset: 2 }
     const { requests } = await follow([listing(4), shorter, listing(2)], 4)
--- a/packages/router/src/node/sources/createSourceFollower.ts
+++ b/packages/router/src/node/sources/createSourceFollower.ts
@@ -18,6 +18,11 @@
   readonly sleep?: (ms: number, signal: AbortSignal) => Promise<void>
   /** Whether the process has paused since a time on that clock; never by default. */
   readonly hasPausedSince?: (sinceMs: number) => boolean
+  /**
+   * Milliseconds without a poll after which the source is listed, as the changes since then are more than its values.
+   * @default Infinity
+   */
+  readonly listAfterMs?: number
   /** Whether a peer polls for this router, which then only lists the source once. */
   readonly hasFreshReader?: () => boolean
   /** Returns the age above which this router polls although a peer does, in milliseconds; infinite by default. */
@@ -61,11 +66,13 @@
   options: SourceFollowerOptions<T>,
 ): SourceFollower {
   const { source, now, onListing, onEntry, logRestores } = options
-  const { sleep = sleepWithTimer } = options
+  const { sleep = sleepWithTimer, listAfterMs = Infinity } = options
   const hasPausedSince = options.hasPausedSince ?? (() => false)
   const stopping = new AbortController()
   const { signal } = stopping
   let nextOffset: number | undefined
+  /** Time of `nextOffset`, in milliseconds. */
+  let offsetAtMs = -Infinity
   /** Restore count for which `nextOffset` is valid. */
   let offsetRestores: number | undefined
   let lastPollAtMs = -Infinity
@@ -88,10 +95,6 @@
   }
 
   function onFault(fault: SourceFault): void {
-    if (fault === SourceFault.Trimmed) {
-      nextOffset = undefined
-      return
-    }
     if (outageStartMs !== undefined) return
     outageStartMs = now()
     options.onUnavailable?.(fault)
@@ -101,8 +104,9 @@
     return restores !== undefined && logRestores?.count !== restores
   }
 
-  function setNextOffset(offset: number | undefined): void {
+  function setNextOffset(offset: number): void {
     nextOffset = offset
+    offsetAtMs = now()
     offsetRestores = logRestores?.count
   }
 
@@ -131,8 +135,9 @@
     for (let offset = from; ;) {
       const page = await source.read(offset)
       if (page.isErr()) {
+        if (page.error === SourceFault.Trimmed) return list()
         onFault(page.error)
-        return page.error === SourceFault.Trimmed
+        return false
       }
       endOutage()
       if (wasRestoredSince(offsetRestores)) {
@@ -141,9 +146,10 @@
       }
       const { entries, nextOffset: next, endOffset = next } = page.value
       for (const entry of entries) changes.set(entry.key, entry)
-      const isReplaced = next < from
-      if (isReplaced || next >= endOffset) {
-        setNextOffset(isReplaced ? undefined : next)
+      // The log was replaced by another one.
+      if (next < from) return list()
+      if (next >= endOffset) {
+        setNextOffset(next)
         for (const entry of changes.values()) onEntry(entry, next)
         countPoll(startedAtMs)
         return true
@@ -178,7 +184,9 @@
   async function poll(): Promise<() => number> {
     if (wasRestoredSince(offsetRestores)) nextOffset = undefined
     const isRead =
-      nextOffset === undefined ? await list() : await readChanges(nextOffset)
+      nextOffset === undefined || now() - offsetAtMs > listAfterMs
+        ? await list()
+        : await readChanges(nextOffset)
     return isRead ? () => options.pollIntervalMs : retryMs
   }
 
--- a/packages/router/src/node/targets/followTargets.ts
+++ b/packages/router/src/node/targets/followTargets.ts
@@ -16,6 +16,9 @@
 /** Removed targets that are remembered; far more than are removed while a peer still has an older list. */
 const MAX_REMOVED = 1_000
 
+/** Milliseconds without a poll after which the list is read as a whole: targets write their entries about once a second. */
+const LIST_AFTER_MS = 3_000
+
 /** Options for {@link followTargets}. */
 export interface FollowTargetsOptions {
   readonly source: KeyedSource<ListedTarget>
@@ -158,6 +161,7 @@
     pollIntervalMs: options.pollIntervalMs,
     hasFreshReader: options.hasFreshReader,
     maxAgeMs: options.maxAgeMs,
+    listAfterMs: LIST_AFTER_MS,
     outageRetryMs: options.outageRetryMs,
     now,
     ...(options.sleep && { sleep: options.sleep }),
