Count the age of a target list from the time at which a poll was sent

The age that decides whether a router reads the log, and that it tells its peers as an upper bound, began when the response arrived. A response that was under way for up to 0.8 s, or a listing of several pages, therefore made a list look newer than it was, at this router and at all that rely on it; requests reached leaving targets later than any of them assumed.

Polls now count from their call; a long poll from the end of the time for which the log held it, at most.

--- a/packages/router/src/node/sources/createSourceFollower.ts
+++ b/packages/router/src/node/sources/createSourceFollower.ts
@@ -44,7 +44,7 @@
 
 /** Polls a source. */
 export interface SourceFollower {
-  /** Milliseconds since the last successful poll; infinite before the first, after a pause of the process and an invalidation. */
+  /** Milliseconds since the last successful poll was sent, or the source was still waiting with it; infinite before the first, after a pause of the process and an invalidation. */
   lastPollAgeMs(): number
   /** Upper bound on the staleness of the values in milliseconds, from polls and from peers; infinite if unknown. */
   ageMs(): number
@@ -89,7 +89,8 @@
   /** Counts a poll, unless its response may have waited while the process was paused. */
   function countPoll(startedAtMs: number): void {
     if (hasPausedSince(startedAtMs)) return
-    lastPollAtMs = now()
+    // The response says nothing of the time for which it was under way.
+    lastPollAtMs = Math.min(now(), startedAtMs + (source.waitMs ?? 0))
     mustPoll = false
     options.onRead?.()
   }
--- a/packages/router/src/node/sources/keyedSource.ts
+++ b/packages/router/src/node/sources/keyedSource.ts
@@ -26,6 +26,11 @@
 /** Keyed values written by others, readable as a whole and as a log of changes. */
 export interface KeyedSource<T> {
   list(): Promise<Result<SourceListing<T>, SourceFault>>
+  /**
+   * Milliseconds for which a read waits for changes.
+   * @default 0
+   */
+  readonly waitMs?: number
   /** Long-polls for changes from offset `from` on; resolves with none on a timeout. */
   read(from: number): Promise<Result<SourcePage<T>, SourceFault>>
 }
