Ask the target list again as a request is written

A target is chosen, then a connection to it is opened, which takes up to 300 ms, longer on a small VM whose process gets no turn. What targets say in responses, evacuations and pauses were asked again just before the write; the list was not. A caller's request that was placed before a drain or a removal became known was written after it.

The write now needs this start of the target, at its address, in the list and not excluded there. Otherwise the request is withheld and placed again, as for the other statements; that is no retry.

The new test fails before: a target that drains, was removed, has started again or has moved was written to.

--- a/packages/router/src/node/targets/__tests__/createTargetStatements.test.ts
+++ b/packages/router/src/node/targets/__tests__/createTargetStatements.test.ts
@@ -2,7 +2,7 @@
 import { beforeEach, describe, it } from 'node:test'
 import { StatementKind } from '../../metrics/routerMetrics.js'
 import { createSharedRecords } from '../../peers/createSharedRecords.js'
-import { createTargetList } from '../createTargetList.js'
+import { createTargetList, type TargetList } from '../createTargetList.js'
 import {
   createTargetStatements,
   type TargetStatements,
@@ -25,11 +25,18 @@
   let nowMs: number
   let kinds: StatementKind[]
   let statements: TargetStatements
+  let targetList: TargetList
 
   beforeEach(() => {
     nowMs = 0
     kinds = []
     const now = () => nowMs
+    targetList = createTargetList(
+      1_000,
+      () => 1_000,
+      (dataCentre) => dataCentre === 'evacuated',
+    )
+    targetList.set(TARGET)
     statements = createTargetStatements({
       records: createSharedRecords({
         origin: 'r',
@@ -37,11 +44,7 @@
         onUpdate: () => undefined,
         now,
       }),
-      targetList: createTargetList(
-        1_000,
-        () => 1_000,
-        (dataCentre) => dataCentre === 'evacuated',
-      ),
+      targetList,
       coldTargets: {
         limitPerS: () => undefined,
         recordListed: () => undefined,
@@ -70,12 +73,28 @@
     statements.observe(TARGET, SAID)
     assert.ok(!statements.acceptsRequests(TARGET))
     const restarted = { ...TARGET, startedAtMs: TIME_OF_DAY_MS + 1 }
+    targetList.set(restarted)
     assert.ok(statements.acceptsRequests(restarted))
     assert.deepEqual(kinds, [StatementKind.Leaving])
   })
 
+  it('accepts none for a target that has left the list since it was chosen', () => {
+    targetList.set({ ...TARGET, draining: true })
+    assert.ok(!statements.acceptsRequests(TARGET))
+    targetList.set(TARGET)
+    assert.ok(statements.acceptsRequests(TARGET))
+    targetList.set({ ...TARGET, startedAtMs: 2 })
+    assert.ok(!statements.acceptsRequests(TARGET))
+    targetList.set({ ...TARGET, port: 2 })
+    assert.ok(!statements.acceptsRequests(TARGET))
+    targetList.set(TARGET)
+    targetList.remove(TARGET.id, nowMs)
+    assert.ok(!statements.acceptsRequests(TARGET))
+  })
+
   it('accepts none for a target in an evacuated data centre', () => {
     const evacuated = { ...TARGET, dataCentre: 'evacuated' }
+    targetList.set(evacuated)
     assert.ok(!statements.acceptsRequests(evacuated))
   })
 
--- a/packages/router/src/node/targets/createTargetList.ts
+++ b/packages/router/src/node/targets/createTargetList.ts
@@ -45,7 +45,8 @@
   readonly revision: number
   /** Recomputes {@link ready} after the set of evacuated data centres has changed. */
   updateEvacuated(): void
-  isEvacuated(target: Target): boolean
+  /** Whether a target that was {@link ready} still is: the list has this start of it, at its address. */
+  isStillReady(target: Target): boolean
   /** Returns why a target is not {@link ready}; undefined if it is. */
   exclusionOf(target: Target): TargetExclusion | undefined
   set(target: Target): void
@@ -188,8 +189,16 @@
     },
     isLeaving,
     exclusionOf,
+    isStillReady(target) {
+      const listed = targets.get(target.id)
+      return (
+        listed?.host === target.host &&
+        listed.port === target.port &&
+        listed.startedAtMs === target.startedAtMs &&
+        exclusionOf(listed) === undefined
+      )
+    },
     updateEvacuated: invalidateIndexes,
-    isEvacuated: ({ dataCentre }) => isEvacuated(dataCentre),
     startRejoinWindow(nowMs) {
       rejoinUntilMs = nowMs + rejoinMs
     },
--- a/packages/router/src/node/targets/createTargetStatements.ts
+++ b/packages/router/src/node/targets/createTargetStatements.ts
@@ -23,7 +23,7 @@
   readonly limits: TargetLimits
   /** Records what a target says in a response to any call. */
   observe(target: Target, statement: TargetStatement): void
-  /** Whether a target accepts requests; asked when it is chosen and again when a request is written. */
+  /** Whether a target that was chosen accepts requests; asked as a request is written, as it may have left meanwhile. */
   acceptsRequests(target: Target): boolean
 }
 
@@ -50,8 +50,6 @@
       limits.observe(target.id, statement)
     },
     acceptsRequests: (target) =>
-      !targetList.isLeaving(target) &&
-      !targetList.isEvacuated(target) &&
-      pauses.waitMs(target) === 0,
+      targetList.isStillReady(target) && pauses.waitMs(target) === 0,
   }
 }
