Delay removals only after an outage of the log that nobody could read in

After an outage removed targets stay ready for 2.2 s, as their entries may return. Whether there had been an outage was taken from two things that do not show one: the time since this router's first failed poll, which goes on while a peer polls for it, and the time in which no peer polled, which also passes when the polling router dies. A router that took over long after it had failed to read the log once kept removed targets for 2.2 s, on top of the time until it took over: requests reached targets that had been gone for longer than the drain time allows, with the log stable all the while.

The delay now begins when the list becomes current again, by a poll or through a peer, after polls of this router had failed and nobody had brought anything newer for 2 s; entries last for three heartbeats, 3.6 s.

With the knowledge of peers as it was at a takeover (no poll for 1.5 s), the new test fails on the code before: the removed target stays ready.

--- a/packages/router/src/node/constants.ts
+++ b/packages/router/src/node/constants.ts
@@ -20,8 +20,8 @@
 export const DIRECTORY_POLL_MS = 15_000
 /** Milliseconds after an outage of the target list within which lost entries return. */
 export const REJOIN_WINDOW_MS = 2_200
-/** Outages of the target list up to this length, in milliseconds, lose no entries. */
-export const SHORT_OUTAGE_MS = 1_000
+/** Outages of the target list up to this length, in milliseconds, lose no entries: an entry lasts for three heartbeats. */
+export const SHORT_OUTAGE_MS = 2_000
 /** A peer's last poll is fresh for the time in which a change must take effect, divided by this. */
 export const READER_AGE_DIVISOR = 2
 /** Polls of the target list within the time that a draining target may still get requests. */
--- a/packages/router/src/node/dissemination/__tests__/listFleet.ts
+++ b/packages/router/src/node/dissemination/__tests__/listFleet.ts
@@ -131,7 +131,6 @@
       coldTargets: { recordListed: () => undefined },
       pollIntervalMs: drainMs / POLLS_PER_DRAIN,
       maxAgeMs: () => maxListAgeMs(router.id, drainMs),
-      lastFleetOutageAtMs: () => -Infinity,
       hasFreshReader: () => watch.hasReader(PolledSource.Targets),
       outageRetryMs: () => 250,
       onChange: () => {
--- a/packages/router/src/node/peers/createPeers.ts
+++ b/packages/router/src/node/peers/createPeers.ts
@@ -76,8 +76,6 @@
   peersWithTargets(configurationVersion: number): readonly Peer[]
   /** Whether a live peer has run for longer than this router needs to start. */
   hasEstablishedPeer(): boolean
-  /** Last time at which no peer had polled the target list within SHORT_OUTAGE_MS, in milliseconds. */
-  lastFleetOutageAtMs(): number
   /** Returns the milliseconds after which a peer's report of load is ignored. */
   maxLoadAgeMs(): number
   /** Sends digests at once. */
@@ -92,7 +90,6 @@
   const { settings, state, fleetSize, logRestores, log, now } = options
   const { id: router } = settings.router
   let listedRouters: string[] | undefined
-  let lastFleetOutageAtMs = now()
   const fetcher = createPeerStateFetcher({
     ...options,
     routerState: state,
@@ -160,16 +157,9 @@
     if (peer) fetcher.onDigest(peer)
   }
 
-  function observeOutage(): void {
-    const shortMs = Math.max(constants.SHORT_OUTAGE_MS, maxPollAgeMs())
-    if (pollers.latestAgeMs(PolledSource.Targets, now()) > shortMs)
-      lastFleetOutageAtMs = now()
-  }
-
   const ticks = setInterval(() => {
     for (const { router: peer } of table.expire(now()))
       log.write(LogEvent.PeerLost, { peer })
-    observeOutage()
     exchange.tick()
   }, constants.DIGEST_INTERVAL_MS)
   let scheduled: NodeJS.Timeout | undefined
@@ -217,7 +207,6 @@
       table
         .livePeers(now())
         .some((peer) => hasReported(peer, PeerStatus.Established)),
-    lastFleetOutageAtMs: () => lastFleetOutageAtMs,
     maxLoadAgeMs: () => exchange.maxLoadAgeMs(),
     broadcast() {
       exchange.sendNow([Direction.Up, Direction.Down])
--- a/packages/router/src/node/sources/createLogFollowers.ts
+++ b/packages/router/src/node/sources/createLogFollowers.ts
@@ -93,7 +93,6 @@
     coldTargets: options.coldTargets,
     pollIntervalMs: options.drainMs / POLLS_PER_DRAIN,
     maxAgeMs: () => maxTargetsAgeMs,
-    lastFleetOutageAtMs: () => peers()?.lastFleetOutageAtMs() ?? now(),
     hasFreshReader: () => peers()?.hasFreshTargetReader() ?? false,
     outageRetryMs: () =>
       retryMs(
--- a/packages/router/src/node/sources/createSourceFollower.ts
+++ b/packages/router/src/node/sources/createSourceFollower.ts
@@ -40,6 +40,11 @@
   readonly onUnavailable?: (fault: SourceFault) => void
   /** Called before the first changes after an outage, with its length in milliseconds. */
   readonly onRecovered?: (outageMs: number) => void
+  /**
+   * Called before the first changes after a time in which polls failed and no peer had
+   * newer values either, with the age that the values had reached, in milliseconds.
+   */
+  readonly onGapEnded?: (ageMs: number) => void
 }
 
 /** Polls a source. */
@@ -48,7 +53,7 @@
   lastPollAgeMs(): number
   /** Upper bound on the staleness of the values in milliseconds, from polls and from peers; infinite if unknown. */
   ageMs(): number
-  /** Records that a peer had the same values `ageMs` ago. */
+  /** Records that a peer had the values `ageMs` ago that are here, or are applied next. */
   confirm(ageMs: number): void
   /** Marks the values as stale until the source is polled again. */
   invalidate(): void
@@ -79,8 +84,15 @@
   let confirmedAtMs = -Infinity
   let mustPoll = false
   let outageStartMs: number | undefined
+  let lastFaultAtMs = -Infinity
+
+  function endGap(): void {
+    const knownAtMs = Math.max(lastPollAtMs, confirmedAtMs)
+    if (lastFaultAtMs > knownAtMs) options.onGapEnded?.(now() - knownAtMs)
+  }
 
   function endOutage(): void {
+    endGap()
     if (outageStartMs === undefined) return
     options.onRecovered?.(now() - outageStartMs)
     outageStartMs = undefined
@@ -96,6 +108,7 @@
   }
 
   function onFault(fault: SourceFault): void {
+    lastFaultAtMs = now()
     if (outageStartMs !== undefined) return
     outageStartMs = now()
     options.onUnavailable?.(fault)
@@ -218,6 +231,7 @@
     lastPollAgeMs,
     ageMs,
     confirm(confirmedAgeMs) {
+      endGap()
       confirmedAtMs = Math.max(confirmedAtMs, now() - confirmedAgeMs)
     },
     invalidate() {
--- a/packages/router/src/node/targets/__tests__/followTargets.test.ts
+++ b/packages/router/src/node/targets/__tests__/followTargets.test.ts
@@ -27,7 +27,6 @@
   let nowMs = 1_000
   let hasFreshReader = false
   let isUnavailable = false
-  let lastFleetOutageAtMs = 0
   const source: KeyedSource<Target> = {
     list: () => {
       const values = new Map(listed.map((entry) => [entry.id, entry]))
@@ -48,7 +47,6 @@
     coldTargets: { recordListed: () => undefined },
     pollIntervalMs: 1,
     maxAgeMs: () => 1_500,
-    lastFleetOutageAtMs: () => lastFleetOutageAtMs,
     hasFreshReader: () => hasFreshReader,
     outageRetryMs: () => 250,
     onChange: () => undefined,
@@ -71,12 +69,14 @@
     setFreshReader: (value: boolean) => {
       hasFreshReader = value
     },
-    /** Makes the source unavailable for 8 s, and for peers until `fleetOutageMs` after its start. */
+    /** Makes the source unavailable for 8 s, and for a peer whose list is confirmed until `fleetOutageMs` after its start. */
     async outage(fleetOutageMs: number) {
       isUnavailable = true
+      nowMs += 1
       await settle()
-      lastFleetOutageAtMs = nowMs + fleetOutageMs
-      nowMs += 8_000
+      nowMs += fleetOutageMs
+      if (fleetOutageMs < 8_000) follower.confirm(0)
+      nowMs += 8_000 - fleetOutageMs
       isUnavailable = false
     },
     advance: (ms: number) => {
@@ -169,4 +169,22 @@
       assert.deepEqual(test.ready(), remaining)
       test.follower.stop()
     })
+
+  it('drops a target at once when it takes over long after an outage that peers had covered', async () => {
+    const test = await follow([target('a')])
+    await test.outage(1_000)
+    // A peer polls for this router from here until it is lost.
+    test.setFreshReader(true)
+    for (let i = 0; i < 10; i += 1) {
+      test.follower.confirm(0)
+      test.advance(1_000)
+    }
+    test.advance(1_000)
+    test.setFreshReader(false)
+    test.changes.push({ key: 'a' })
+    await new Promise((resolve) => setTimeout(resolve, 300))
+    await test.settle()
+    assert.deepEqual(test.ready(), [])
+    test.follower.stop()
+  })
 })
--- a/packages/router/src/node/targets/followTargets.ts
+++ b/packages/router/src/node/targets/followTargets.ts
@@ -27,8 +27,6 @@
   readonly coldTargets: Pick<ColdTargets, 'recordListed'>
   /** Milliseconds between two polls. */
   readonly pollIntervalMs: number
-  /** Returns the last time at which no peer could read the source either, in milliseconds. */
-  readonly lastFleetOutageAtMs: () => number
   /** Monotonic clock, in milliseconds. */
   readonly now: () => number
   /** Resolves after some milliseconds on that clock; a timer by default. */
@@ -63,13 +61,16 @@
   // A peer's older list must not bring removed targets back.
   const removed = new LRUCache<string, true>({ max: MAX_REMOVED })
 
-  /** Returns where a change was learnt, and the age of the list that lacked it. */
+  /** Returns where changes were learnt, and the age of the list that lacked them. */
   function learntFrom(from: string): LogFields {
     const listAgeMs = Math.round(follower.ageMs())
     return { from, ...(Number.isFinite(listAgeMs) && { listAgeMs }) }
   }
 
-  function set({ coldMs = 0, ...entry }: ListedTarget, from: string): void {
+  function set(
+    { coldMs = 0, ...entry }: ListedTarget,
+    learnt: LogFields,
+  ): void {
     const known = targetList.find(entry.id)
     removed.delete(entry.id)
     // The list of a peer of an earlier release names no data centres.
@@ -82,16 +83,16 @@
     const { id, service, draining } = target
     if (known?.draining === draining) return
     options.onChange()
-    const line = { target: id, service, ...learntFrom(from) }
+    const line = { target: id, service, ...learnt }
     if (!known) log.write(LogEvent.TargetListed, line)
     if (draining) log.write(LogEvent.TargetDraining, line)
     else if (known) log.write(LogEvent.TargetReady, line)
   }
 
-  function remove(id: string, from: string): void {
+  function remove(id: string, learnt: LogFields): void {
     if (!targetList.find(id)) return
     removed.set(id, true)
-    log.write(LogEvent.TargetRemoved, { target: id, ...learntFrom(from) })
+    log.write(LogEvent.TargetRemoved, { target: id, ...learnt })
     targetList.remove(id, now())
     options.onChange()
   }
@@ -114,13 +115,13 @@
 
   function replace(
     values: ReadonlyMap<string, ListedTarget>,
-    from: string,
+    learnt: LogFields,
   ): void {
     for (const target of values.values())
-      if (!isFromOldCopy(target)) set(target, from)
+      if (!isFromOldCopy(target)) set(target, learnt)
     isLoaded = true
     for (const { id } of [...targetList.all()])
-      if (!values.has(id)) remove(id, from)
+      if (!values.has(id)) remove(id, learnt)
   }
 
   /** Whether an entry is older than what this router knows. */
@@ -149,10 +150,11 @@
       follower.invalidate()
       return
     }
-    replace(new Map(targets.map((target) => [target.id, target])), from)
+    const learnt = learntFrom(from)
+    follower.confirm(peerAgeMs)
+    replace(new Map(targets.map((target) => [target.id, target])), learnt)
     // A peer of an earlier release passes on targets without their data centres.
     if (lacksDataCentres()) follower.invalidate()
-    else follower.confirm(peerAgeMs)
   }
 
   const follower = createSourceFollower({
@@ -167,19 +169,18 @@
     ...(options.sleep && { sleep: options.sleep }),
     hasPausedSince: options.hasPausedSince,
     onListing: (values) => {
-      replace(values, 'listing')
+      replace(values, learntFrom('listing'))
     },
     onEntry: ({ key, value }) => {
-      if (value) set(value, 'log')
-      else remove(key, 'log')
+      if (value) set(value, learntFrom('log'))
+      else remove(key, learntFrom('log'))
     },
     onUnavailable: sourceLogger.logUnavailable,
     onRecovered: (outageMs) => {
       sourceLogger.logRecovered(outageMs)
-      // Lost entries have returned by now if a peer could read for that long.
-      const spanMs = Math.min(outageMs, REJOIN_WINDOW_MS)
-      const isFleetOutage = options.lastFleetOutageAtMs() > now() - spanMs
-      if (outageMs > SHORT_OUTAGE_MS && isFleetOutage) startRejoinWindow()
+    },
+    onGapEnded: (ageMs) => {
+      if (ageMs > SHORT_OUTAGE_MS) startRejoinWindow()
     },
   })
 
