--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -205,8 +205,10 @@
       store: store.address,
       ...options,
     }
+    const { network, ...rest } = all
+    if (network) rest.listedPort = await network.proxy(host, all.port)
     const program = fileURLToPath(new URL('replica.mjs', import.meta.url))
-    const child = spawn(process.execPath, [program, JSON.stringify(all)])
+    const child = spawn(process.execPath, [program, JSON.stringify(rest)])
     let partial = ''
     child.stdout.on('data', (text) => {
       const lines = (partial + String(text)).split('\n')
--- a/review/lib-3/replica.mjs
+++ b/review/lib-3/replica.mjs
@@ -5,7 +5,7 @@
 
 const options = JSON.parse(process.argv[2])
 const { id, host, port, service, version, slots, workMs, store } = options
-const { eventMs = 100, heartbeatMs, zone } = options
+const { eventMs = 100, heartbeatMs, zone, listedPort = port } = options
 // The part that crashes this replica, and the events that it has written by then.
 const { deadlyPart, deadlyEvents = 0 } = options
 const born = Date.now()
@@ -17,7 +17,7 @@
   const [storeHost, storePort] = store.split(':')
   const entry = {
     service,
-    address: `${host}:${port}`,
+    address: `${host}:${listedPort}`,
     zone,
     version,
     'slot-count': slots,
