--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -101,6 +101,11 @@
   let runsFleet = true
   let runsReplicas = true
 
+  // Also those that were started while the fleet was being closed.
+  process.once('exit', () => {
+    for (const child of children) child.kill('SIGKILL')
+  })
+
   function keep(child, name) {
     children.add(child)
     child.once('exit', () => children.delete(child))
