--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -1,4 +1,4 @@
-// Four model replicas crash within three seconds and are back after 4.5 s. Their route serves nothing afterwards.
+// Four model replicas crash within two seconds, and each is back after 2 s. Their route serves nothing afterwards.
 import {
   call,
   sleep,
@@ -16,10 +16,10 @@
 const EVENTS = 90
 /** The part of each prompt that all requests of the route share. */
 const SYSTEM_PART = '5c1e07a2:800'
-/** Clients come in waves: 16 requests in 4 s, every 20 s. */
-const WAVE = { requests: 16, gapMs: 250, everyMs: 20_000 }
-/** Each entry of srv_crash: one of four replicas, down for 4.5 s. */
-const CRASH = { gapMs: 1_000, downMs: 4_500 }
+/** Clients come in waves: 32 requests in 4 s, every 20 s. */
+const WAVE = { requests: 32, gapMs: 125, everyMs: 20_000 }
+/** Each entry of srv_crash: one of four replicas, down for 2 s. */
+const CRASH = { gapMs: 500, downMs: 2_000 }
 /** Longer than contact-ms (3 s) after the last replica is back, no disruption is left. */
 const STEADY_MS = 5_000
 
