--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -23,7 +23,7 @@
 const DEADLY_SHARE = 0.03
 const EVENTS = 20
 const SOUND_MS = 12_000
-const TROUBLE_MS = 50_000
+const TROUBLE_MS = 20_000
 const CONTACT_MS = 3_000
 const MAX_LATE = 3
 
